--- /dev/null
+++ b/hazelhollow/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m hazelhollow`."""
+
+from hazelhollow.cli import main
+
+main(prog_name="hazelhollow")
--- /dev/null
+++ b/hazelhollow/cli.py
@@ -0,0 +1,64 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+
+import click
+
+from hazelhollow import __version__, config
+
+
+@click.group(help="A rate limiter that holds quotas by plan across a fleet of gateways.")
+def main() -> None:
+    pass
+
+
+@main.command()
+@click.option(
+    "--log-level",
+    type=click.Choice(["debug", "info", "warning", "error"]),
+    default="info",
+    show_default=True,
+    help="What goes to standard error.",
+)
+def serve(log_level: str) -> None:
+    """Serve until SIGTERM, as the RELAY_ variables say. SIGUSR1 prints the counters."""
+    logging.basicConfig(
+        level=log_level.upper(), stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
+    from hazelhollow.net import service
+
+    told = _load()
+    try:
+        service.serve(told)
+    except OSError as error:
+        _fail(f"cannot listen: {error.strerror or error}")
+
+
+@main.command("check-config")
+def check_config() -> None:
+    """Read the configuration and say what it holds, or what is wrong with it."""
+    told = _load()
+    click.echo(f"{told.name}: gateway {told.settings.me} of {told.settings.gateways}, listens at {told.listen}")
+
+
+@main.command("version")
+def show_version() -> None:
+    """Print the version."""
+    click.echo(__version__)
+
+
+def _load() -> config.Config:
+    try:
+        return config.load(os.environ)
+    except config.ConfigError as error:
+        _fail(str(error))
+        raise AssertionError from None
+
+
+def _fail(text: str) -> None:
+    click.echo(f"hazelhollow: {text}", err=True)
+    sys.exit(2)
--- /dev/null
+++ b/hazelhollow/config.py
@@ -0,0 +1,91 @@
+"""What a limiter is told at its start: the RELAY_ variables and the JSON file that they name."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from hazelhollow import interface as api
+from hazelhollow import wire
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; its text is one plain line that says why."""
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: api.Settings
+    peer_listen: Address | None = None
+    peers: tuple[Address, ...] = ()
+    counter: Address | None = None
+    known: Mapping[str, Any] | None = None
+    memory_mb: int = 192
+    sockets: int = 1024
+    connect_timeout: float = 0.25
+    conn_idle: float = 30.0
+    max_open: int = 20_000
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """The file, with the variables before what it says of the same."""
+    path = environment.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        document = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(document, dict):
+        raise ConfigError(f"{path}: not a JSON object")
+    for key in ("name", "listen", "discovery"):
+        if f"RELAY_{key.upper()}" in environment:
+            document[key] = environment[f"RELAY_{key.upper()}"]
+    try:
+        return _config(wire.Fields("config", document))
+    except (wire.WireError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _config(fields: wire.Fields) -> Config:
+    settings, limits = fields.part("settings", needed=True), fields.part("limits")
+    policy = settings.part("policy_limits")
+    return Config(
+        name=fields.text("name", ""),
+        listen=address(fields.text("listen")),
+        discovery=address(fields.text("discovery")),
+        seed=int(fields.text("seed", "0"), 16),
+        settings=wire.parse_settings(settings),
+        peer_listen=_optional(fields.text("peer_listen", "")),
+        peers=tuple(address(text) for text in fields.texts("peers")),
+        counter=_optional(fields.text("counter", "")),
+        known=fields.raw("known"),
+        memory_mb=fields.part("limits").integer("memory_mb", 192),
+        sockets=limits.integer("sockets", 1024),
+        connect_timeout=policy.number("connect_timeout", 0.25),
+        conn_idle=policy.number("conn_idle", 30.0),
+        max_open=policy.integer("max_open", 20_000),
+    )
+
+
+def address(text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not (colon and host and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"'{text}' is not host:port")
+    return host, int(port)
+
+
+def _optional(text: str) -> Address | None:
+    return address(text) if text else None
--- a/hollygap/decide.py
+++ b/hazelhollow/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of the gateway, every table and every tuned value. Its types: hollygap/interface.py.
+"""Every decision of the gateway, every table and every tuned value. Its types: hazelhollow/interface.py.
 
 `_request` checks the budget, `_choose` picks a server, `_charge` takes the guess, `_outcome` settles the true
 units, `_proceed` tries again or ends. `_book` gossips charges; in a large set hubs sum them and `_announce`.
@@ -10,9 +10,9 @@
 from collections.abc import Iterator
 from zlib import crc32
 
-from hollygap import gossip
-from hollygap import interface as api
-from hollygap.state import Account, Attempt, Health, Held, Memory, Server, Store, listed
+from hazelhollow import gossip
+from hazelhollow import interface as api
+from hazelhollow.state import Account, Attempt, Health, Held, Memory, Server, Store, listed
 
 PERIOD = 1.0  # seconds from one renewal of the budgets to the next
 FLUSHES = 10  # gossip rounds a period
--- a/hollygap/drill.py
+++ b/hazelhollow/drill.py
@@ -5,8 +5,8 @@
 import sys
 from typing import TextIO
 
-from hollygap import wire
-from hollygap.decide import Gateway
+from hazelhollow import wire
+from hazelhollow.decide import Gateway
 
 
 class Host:
@@ -64,7 +64,7 @@
     try:
         run(sys.stdin, sys.stdout)
     except (wire.WireError, UnicodeDecodeError) as error:
-        print(f"hollygap: {error}", file=sys.stderr)
+        print(f"hazelhollow: {error}", file=sys.stderr)
         return 2
     return 0
 
--- /dev/null
+++ b/hazelhollow/net/http1.py
@@ -0,0 +1,114 @@
+"""The little of HTTP/1.1 that discovery needs: a request line out, whole answers in, no socket."""
+
+from __future__ import annotations
+
+from hazelhollow.net.resp import ProtocolError
+from hazelhollow.net.ring import Ring, RingFull
+
+MOST_HEAD = 16 * 1024
+MOST_BODY = 4 * 1024 * 1024
+
+
+def get(target: str, host: str) -> bytes:
+    return f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
+
+
+class Answer:
+    """One whole answer."""
+
+    __slots__ = ("status", "body", "keep")
+
+    def __init__(self, status: int, body: bytes, keep: bool) -> None:
+        self.status, self.body, self.keep = status, body, keep
+
+
+class Parser:
+    """Fed bytes as they come; gives whole answers. Bodies by length or in chunks."""
+
+    def __init__(self) -> None:
+        self.ring = Ring(MOST_HEAD + MOST_BODY)
+        self._restart()
+
+    def _restart(self) -> None:
+        self._status = 0  # 0: the head is yet to come
+        self._keep = True
+        self._left = -1  # bytes of the body, or of this chunk, to come; -1: a chunk's size comes next
+        self._chunked = False
+        self._trailer = False
+        self._body = bytearray()
+
+    def feed(self, data: bytes) -> None:
+        try:
+            self.ring.write(data)
+        except RingFull:
+            raise ProtocolError("too much at once") from None
+
+    def next(self) -> Answer | None:
+        if not self._status and not self._head():
+            return None
+        if not (self._chunks() if self._chunked else self._plain()):
+            return None
+        answer = Answer(self._status, bytes(self._body), self._keep)
+        self._restart()
+        return answer
+
+    def _line(self) -> bytes | None:
+        at = self.ring.find(b"\r\n")
+        if at > MOST_HEAD or (at < 0 and len(self.ring) > MOST_HEAD):
+            raise ProtocolError("too long a line")
+        return self.ring.take(at + 2)[:-2] if at >= 0 else None
+
+    def _head(self) -> bool:
+        at = self.ring.find(b"\r\n\r\n")
+        if at > MOST_HEAD or (at < 0 and len(self.ring) > MOST_HEAD):
+            raise ProtocolError("too long a head")
+        if at < 0:
+            return False
+        first, *lines = self.ring.take(at + 4)[:-4].split(b"\r\n")
+        words = first.split(b" ", 2)
+        if len(words) < 2 or not words[0].startswith(b"HTTP/1.") or not words[1].isdigit():
+            raise ProtocolError("not an HTTP/1.1 answer")
+        fields: dict[bytes, bytes] = {}
+        for line in lines:
+            name, colon, value = line.partition(b":")
+            if not colon:
+                raise ProtocolError("a header without a colon")
+            fields[name.strip().lower()] = value.strip()
+        self._status, self._keep = int(words[1]), fields.get(b"connection", b"").lower() != b"close"
+        self._chunked = fields.get(b"transfer-encoding", b"").lower() == b"chunked"
+        length = fields.get(b"content-length", b"0")
+        if not length.isdigit() or int(length) > MOST_BODY:
+            raise ProtocolError("a length out of range")
+        self._left = -1 if self._chunked else int(length)
+        return True
+
+    def _plain(self) -> bool:
+        if len(self.ring) < self._left:
+            return False
+        self._body += self.ring.take(self._left)
+        return True
+
+    def _chunks(self) -> bool:
+        while True:
+            if self._left >= 0:
+                if len(self.ring) < self._left + 2:
+                    return False
+                self._body += self.ring.take(self._left + 2)[:-2]
+                if len(self._body) > MOST_BODY:
+                    raise ProtocolError("too large a body")
+                self._left = -1
+                continue
+            line = self._line()
+            if line is None:
+                return False
+            if self._trailer:
+                if not line:
+                    return True
+                continue
+            try:
+                size = int(line.split(b";")[0], 16)
+            except ValueError:
+                raise ProtocolError("not a chunk's size") from None
+            if not 0 <= size <= MOST_BODY:
+                raise ProtocolError("a length out of range")
+            self._left, self._trailer = (size, False) if size else (-1, True)
--- /dev/null
+++ b/hazelhollow/net/issuer.py
@@ -0,0 +1,278 @@
+"""Legs to issuer hosts: the one owner of their connections, which opens, reuses, closes and gives them up."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from hazelhollow.interface import Status
+from hazelhollow.net import resp, stream
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net.ending import Ending, outcome
+from hazelhollow.net.stats import Stats
+
+MOST_OUT = resp.MOST_BYTES + 8 * 1024  # one command
+IDLE_SHARE = 0.5  # of the time after which the host may close an idle connection: past it none is reused
+SWEEP = 1.0  # seconds between looks for idle connections
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Result:
+    """How a leg ended, in the module's words."""
+
+    status: Status
+    value: bytes = b""
+    report: bytes = b""
+
+
+def read_answer(answer: resp.Value) -> Result | None:
+    """An issuer host's answer; nothing where it is none that a host gives."""
+    if isinstance(answer, list) and answer and isinstance(answer[0], bytes):
+        report = answer[2] if len(answer) > 2 and isinstance(answer[2], bytes) else b""
+        return Result("ok", answer[0], report)
+    if isinstance(answer, resp.Fault):
+        word, _, rest = answer.partition(b" ")
+        report = rest.rpartition(b" ")[2] if b"=" in rest else b""
+        if word == b"BUSY":
+            return Result("full", report=report)
+        if word != b"ERR":
+            log.warning("an issuer host answered %r", bytes(answer[:80]))
+        return Result("error", report=report)
+    return None
+
+
+class Leg:
+    """One attempt, from the request to start it to its one result."""
+
+    __slots__ = ("host", "command", "done", "line", "started")
+
+    def __init__(self, host: Host, command: bytes, done: Callable[[Result], None], started: float) -> None:
+        self.host, self.command, self.started = host, command, started
+        self.done: Callable[[Result], None] | None = done
+        self.line: Line | None = None
+
+    def finish(self, result: Result) -> None:
+        done, self.done = self.done, None
+        if done:
+            done(result)
+
+
+class Line:
+    """One connection to an issuer host. It carries one leg at a time."""
+
+    __slots__ = ("host", "leg", "stream", "idle_since", "parser", "_mark")
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.leg: Leg | None = None
+        self.stream: stream.Stream | None = None  # while it opens there is none
+        self.parser = resp.Parser()
+        self.idle_since = 0.0
+        self._mark = 0  # bytes written before this leg's
+
+    def begin(self) -> None:
+        if self.stream and self.leg:
+            self._mark = self.stream.written
+            self.stream.write(self.leg.command)
+
+    def touched(self) -> bool:
+        """Whether any byte of the leg's request has left."""
+        return self.stream is not None and self.stream.written > self._mark
+
+    def whole(self) -> bool:
+        """Whether all of it has, so that the host may have begun it."""
+        return self.leg is not None and self.touched() and self._left() <= 0
+
+    def _left(self) -> int:
+        assert self.stream and self.leg
+        return self._mark + len(self.leg.command) - self.stream.written
+
+
+class Host:
+    """One issuer host of the routing table, and the connections to it."""
+
+    __slots__ = ("name", "address", "lines", "idle", "listed")
+
+    def __init__(self, name: str, address: tuple[str, int]) -> None:
+        self.name, self.address = name, address
+        self.lines: set[Line] = set()
+        self.idle: list[Line] = []  # the most recently used last: the others get to rest and are closed
+        self.listed = True
+
+
+class Issuers:
+    def __init__(
+        self, scheduler: sch.Scheduler, stats: Stats, connect_timeout: float, conn_idle: float, most_lines: int
+    ) -> None:
+        self._scheduler, self._stats, self._most = scheduler, stats, most_lines
+        self._connect_timeout, self._rest = connect_timeout, conn_idle * IDLE_SHARE
+        self._hosts: dict[str, Host] = {}
+        self._count = 0
+        scheduler.at(scheduler.clock() + SWEEP, self._sweep)
+
+    # The routing table
+
+    def update(self, addresses: Mapping[str, tuple[str, int]]) -> None:
+        """The hosts that may get new legs from now on, and where they are.
+
+        A leg whose first byte has not left must not reach a host that drains or is gone, so it ends here as
+        never run, and the module may choose anew. What is under way goes on.
+        """
+        for name, host in list(self._hosts.items()):
+            if addresses.get(name) != host.address:
+                host.listed = False
+                del self._hosts[name]
+                for line in list(host.lines):
+                    if line.leg is None or not line.touched():
+                        self.end(line, Ending.UNLISTED)
+        for name, address in addresses.items():
+            if name not in self._hosts:
+                self._hosts[name] = Host(name, address)
+
+    # Legs
+
+    def start(self, name: str, command: bytes, done: Callable[[Result], None]) -> Leg:
+        """`done` is called once, and never before this returns."""
+        now, host = self._scheduler.clock(), self._hosts.get(name)
+        leg = Leg(host or Host(name, ("", 0)), command, done, now)
+        self._stats.legs += 1
+        if host is None:
+            self._scheduler.later(lambda: leg.finish(Result(outcome(Ending.UNLISTED, False))))
+            return leg
+        while host.idle:
+            line = host.idle.pop()
+            if now - line.idle_since < self._rest:
+                line.leg, leg.line = leg, line
+                self._stats.reused += 1
+                line.begin()
+                return leg
+            self.end(line, Ending.IDLE)
+        if self._count >= self._most and not self._spare():
+            self._stats.no_descriptor += 1
+            self._scheduler.later(lambda: leg.finish(Result(outcome(Ending.NO_DESCRIPTOR, False))))
+            return leg
+        line = Line(host)
+        line.leg, leg.line = leg, line
+        host.lines.add(line)
+        self._count += 1
+        self._scheduler.spawn(self._tend, line, name=f"line to {name}")
+        return leg
+
+    def give_up(self, leg: Leg, ending: Ending) -> None:
+        """The host learns of it by the connection's end; bytes that were not written never are."""
+        if leg.done and leg.line:
+            self.end(leg.line, ending)
+
+    # Connections
+
+    def end(self, line: Line, ending: Ending) -> None:
+        """The one place in which a connection ends, and a leg with it."""
+        host, leg, whole = line.host, line.leg, line.whole()
+        if line in host.lines:
+            host.lines.remove(line)
+            self._count -= 1
+            if line in host.idle:
+                host.idle.remove(line)
+        if line.stream:
+            line.stream.close(ending)
+        line.leg = None
+        if leg:
+            self._stats.endings[ending] += 1
+            leg.finish(Result(outcome(ending, whole)))
+
+    def close(self) -> None:
+        for host in self._hosts.values():
+            for line in list(host.lines):
+                self.end(line, Ending.SHUTDOWN)
+
+    def spare(self) -> bool:
+        """Makes room for one descriptor where a connection is idle."""
+        return self._spare()
+
+    def _spare(self) -> bool:
+        idle = [host.idle[0] for host in self._hosts.values() if host.idle]
+        if not idle:
+            return False
+        self.end(min(idle, key=lambda line: line.idle_since), Ending.IDLE)
+        return True
+
+    def _tend(self, line: Line) -> None:
+        """The task of one connection, for its whole life."""
+        ending = Ending.BROKEN_HERE
+        try:
+            ending = self._open(line) or self._serve(line)
+        finally:
+            self.end(line, ending)
+
+    def _open(self, line: Line) -> Ending | None:
+        for attempt in (1, 2):
+            result = stream.connect(
+                self._scheduler, line.host.address, MOST_OUT, self._connect_timeout, line_opened(line)
+            )
+            if not isinstance(result, Ending):
+                self._stats.opened += 1
+                line.begin()
+                return None
+            if result is not Ending.NO_DESCRIPTOR or attempt == 2 or not self._spare():
+                return result
+            line.stream = None
+        return None
+
+    def _serve(self, line: Line) -> Ending:
+        assert line.stream
+        driver = line.stream
+        driver.on_broken = lambda ending: self.end(line, ending)
+        while driver.ending is None:
+            if driver.wait() == sch.WOKEN:
+                continue
+            data = driver.read(line.parser.ring.room())
+            if data is None:
+                continue
+            if isinstance(data, Ending):
+                return data
+            try:
+                line.parser.feed(data)
+                answer = line.parser.next()
+            except resp.ProtocolError as error:
+                log.warning("%s: %s", line.host.name, error)
+                return Ending.MALFORMED
+            if isinstance(answer, resp.More):
+                if line.leg is None:
+                    return Ending.MALFORMED
+                continue
+            result = read_answer(answer)
+            # Nobody asked, the answer is none, or it came before the request was out: what this connection
+            # says next could be taken for another request's answer.
+            if result is None or not line.whole() or not line.parser.idle():
+                return Ending.MALFORMED
+            leg, line.leg = line.leg, None
+            self._rest_line(line)
+            assert leg
+            leg.finish(result)
+        return driver.ending
+
+    def _rest_line(self, line: Line) -> None:
+        line.idle_since = self._scheduler.clock()
+        if line.host.listed:
+            line.host.idle.append(line)
+        else:
+            self.end(line, Ending.UNLISTED)
+
+    def _sweep(self) -> None:
+        self._scheduler.at(self._scheduler.clock() + SWEEP, self._sweep)
+        now = self._scheduler.clock()
+        for host in self._hosts.values():
+            while host.idle and now - host.idle[0].idle_since >= self._rest:
+                self.end(host.idle[0], Ending.IDLE)
+
+
+def line_opened(line: Line) -> Callable[[stream.Stream], None]:
+    """A connection that is still opening can be given up too: its line must know the stream."""
+
+    def keep(driver: stream.Stream) -> None:
+        line.stream = driver
+
+    return keep
--- /dev/null
+++ b/hazelhollow/net/limiter.py
@@ -0,0 +1,218 @@
+"""Between the network and the decision module: events in, actions out. Alone knows both, decides nothing."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import deque
+from typing import Protocol
+
+from hazelhollow import interface as api
+from hazelhollow import wire
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net.ending import Ending
+from hazelhollow.net.issuer import Issuers, Leg, Result
+from hazelhollow.net.peers import Peers
+from hazelhollow.net.stats import Stats
+
+log = logging.getLogger(__name__)
+
+
+class Decisions(Protocol):
+    """The decision module, as the network sees it."""
+
+    def handle(self, event: api.Event, now: float) -> list[api.Action]: ...
+
+
+class Caller(Protocol):
+    """The acquirer side of one request, whatever protocol it came by. It gets one of these calls, once."""
+
+    def served(self, value: bytes) -> None: ...
+    def declined(self, wait_ms: int) -> None: ...
+    def failed(self) -> None: ...
+
+
+class Ask(Protocol):
+    """One request, as the acquirer side has read it."""
+
+    request: api.Request
+
+    def command(self, wait_ms: int) -> bytes:
+        """What goes to an issuer host that is to answer within that time."""
+
+
+class Open:
+    """A request that is owed its answer, or whose legs are still out."""
+
+    __slots__ = ("id", "ask", "caller", "deadline", "legs", "out", "answered", "timer")
+
+    def __init__(self, key: str, ask: Ask, caller: Caller, deadline: float) -> None:
+        self.id, self.ask, self.caller, self.deadline = key, ask, caller, deadline
+        self.legs: list[Leg] = []
+        self.out = 0
+        self.answered = False
+        self.timer: sch.Timer | None = None
+
+
+class Limiter:
+    def __init__(
+        self, decisions: Decisions, scheduler: sch.Scheduler, issuers: Issuers, stats: Stats, most_open: int
+    ) -> None:
+        self._decisions, self._scheduler = decisions, scheduler
+        self._issuers, self._stats, self._most_open = issuers, stats, most_open
+        self.peers: Peers | None = None
+        self.open: dict[str, Open] = {}
+        self._events: deque[tuple[api.Event, Open | None]] = deque()
+        self._busy = False
+
+    # The acquirer side
+
+    def ask(self, ask: Ask, caller: Caller) -> Open | None:
+        """Takes a request; the record is to be given back to `gone` if its client leaves."""
+        request = ask.request
+        self._stats.requests += 1
+        if len(self.open) >= self._most_open:
+            self._stats.declined += 1
+            caller.declined(0)
+            return None
+        key, again = request.id, 1
+        while key in self.open:  # a client that sends an id twice must not make the module mix up the two
+            key, again = f"{request.id}#{again}", again + 1
+        if key != request.id:
+            request = api.Request(**{**vars(request), "id": key})
+        one = Open(key, ask, caller, self._scheduler.clock() + request.patience)
+        self.open[key] = one
+        one.timer = self._scheduler.at(one.deadline, self._expire, one)
+        self._handle(request, one)
+        return one
+
+    def gone(self, one: Open) -> None:
+        """The client has left: nothing is owed any more."""
+        if not one.answered:
+            self._stats.clients_gone += 1
+            one.answered = True
+            self._handle(api.ClientGone(one.id), one)
+
+    # Everything else that happens
+
+    def told(self, event: api.Servers) -> None:
+        self._handle(event)
+
+    def heard(self, sender: int, text: str) -> None:
+        self._handle(api.PeerMessage(sender, text))
+
+    def _timer(self, name: str) -> None:
+        self._handle(api.Timer(name))
+
+    def _expire(self, one: Open) -> None:
+        """The client stops waiting now: so do the legs, and the answer is due."""
+        for leg in one.legs:
+            self._issuers.give_up(leg, Ending.TIMED_OUT)
+        if not one.answered and not self._busy:
+            self._rescue(one, "no decision by its deadline")
+        self._let_go(one)
+
+    def _leg_done(self, one: Open, number: int, result: Result) -> None:
+        leg, now = one.legs[number], self._scheduler.clock()
+        one.out -= 1
+        self._stats.outcomes[result.status] += 1
+        if result.status == "ok" and not one.answered:
+            one.answered = True
+            self._stats.served += 1
+            one.caller.served(result.value)
+        event = api.Outcome(
+            one.id, number, leg.host.name, result.status, now - leg.started, one.answered, 0.0, wire.read_report(result.report)
+        )
+        self._handle(event, one)
+
+    # To the module and back
+
+    def _handle(self, event: api.Event, one: Open | None = None) -> None:
+        """An action may bring about the next event at once: the module gets it after, not within, this one."""
+        self._events.append((event, one))
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._one_event(*self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _one_event(self, event: api.Event, one: Open | None) -> None:
+        now, broken = self._scheduler.clock(), False
+        try:
+            actions = self._decisions.handle(event, now)
+        except Exception:  # a fault in the module costs this event, and no other request
+            log.exception("the module failed at %s", type(event).__name__)
+            self._stats.errors += 1
+            actions, broken = [], True
+        for action in actions:
+            self._perform(action, now)
+        if one:
+            if broken and not one.answered and not one.out:
+                self._rescue(one, "the module failed")
+            self._let_go(one)
+
+    def _perform(self, action: api.Action, now: float) -> None:
+        if isinstance(action, api.Send):
+            self._send(action, now)
+        elif isinstance(action, api.Refuse):
+            one = self._answer(action.id)
+            if one:
+                self._stats.declined += 1
+                one.caller.declined(math.ceil(action.retry_after * 1000))
+        elif isinstance(action, api.Fail):
+            one = self._answer(action.id)
+            if one:
+                self._stats.failed += 1
+                one.caller.failed()
+        elif isinstance(action, api.SetTimer):
+            self._scheduler.at(now + action.delay, self._timer, action.name)
+        elif isinstance(action, api.Tell):
+            if self.peers:
+                self.peers.tell(action.gateway, action.text)
+        elif isinstance(action, api.Cancel):
+            found = self.open.get(action.id)
+            if found and action.attempt < len(found.legs):
+                self._issuers.give_up(found.legs[action.attempt], Ending.CANCELLED)
+        elif isinstance(action, api.Log):
+            log.info("%s", action.text)
+        # Subscribe: the watch on discovery always stands.
+
+    def _send(self, action: api.Send, now: float) -> None:
+        one = self.open.get(action.id)
+        if one is None or one.answered or now >= one.deadline:
+            self._events.append((api.Outcome(action.id, len(one.legs) if one else 0, action.server, "moot", 0.0), one))
+            return
+        number, left = len(one.legs), one.deadline - now
+        if 0 < action.timeout < left:
+            left = action.timeout
+        command = one.ask.command(max(1, int(left * 1000)))
+        one.out += 1
+        leg = self._issuers.start(action.server, command, lambda result: self._leg_done(one, number, result))
+        one.legs.append(leg)
+        if now + left < one.deadline:
+            self._scheduler.at(now + left, self._issuers.give_up, leg, Ending.TIMED_OUT)
+
+    def _answer(self, request: str) -> Open | None:
+        """The record of a request that gets its final answer now."""
+        one = self.open.get(request)
+        if one is None or one.answered:
+            return None
+        one.answered = True
+        return one
+
+    def _rescue(self, one: Open, why: str) -> None:
+        """What was taken is answered, whatever the module does."""
+        log.error("request %s: %s", one.id, why)
+        self._stats.rescued += 1
+        one.answered = True
+        one.caller.failed()
+        self._handle(api.ClientGone(one.id), one)
+
+    def _let_go(self, one: Open) -> None:
+        if one.answered and not one.out and self.open.get(one.id) is one:
+            del self.open[one.id]
+            if one.timer:
+                one.timer.cancel()
--- /dev/null
+++ b/hazelhollow/net/service.py
@@ -0,0 +1,114 @@
+"""One limiter's parts put together, its start, its signals and its end."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+import socket
+import sys
+
+from hazelhollow import interface as api
+from hazelhollow.config import Config
+from hazelhollow.decide import Gateway
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net.acquirer import Acquirer
+from hazelhollow.net.issuer import Issuers
+from hazelhollow.net.limiter import Limiter
+from hazelhollow.net.peers import Peers
+from hazelhollow.net.routing import Table, Watch
+from hazelhollow.net.stats import Stats
+
+READY_WITHIN = 0.5  # seconds: then it serves with the list it knows, though discovery has not answered
+LEAVE_AFTER = 0.5  # seconds past SIGTERM: clients come for up to 0.4 s; then connections end between requests
+STAY = 0.9  # seconds past SIGTERM that it serves at least
+STEP = 0.02
+RESERVE = 32  # descriptors for all that is neither a client's nor an issuer host's
+
+log = logging.getLogger(__name__)
+
+
+class Service:
+    def __init__(self, config: Config, scheduler: sch.Scheduler) -> None:
+        self.scheduler, self.stats = scheduler, Stats()
+        room = max(16, config.sockets - RESERVE)
+        self.issuers = Issuers(
+            scheduler, self.stats, config.connect_timeout, config.conn_idle, most_lines=room * 2 // 5
+        )
+        gateway = Gateway(config.settings, config.seed)
+        self.limiter = Limiter(gateway, scheduler, self.issuers, self.stats, config.max_open)
+        self.table = Table()
+        if config.known is not None:
+            self.limiter.told(self.table.apply(config.known, cached=True))
+            self.issuers.update(self.table.open_addresses())
+        self.watch = Watch(scheduler, self.stats, config.discovery, self.table, self._changed)
+        if config.peer_listen:
+            self.limiter.peers = Peers(
+                scheduler, self.stats, config.peer_listen, config.peers, self.limiter.heard
+            )
+        self.acquirer = Acquirer(
+            scheduler, self.stats, self.limiter, config.listen, room * 3 // 5, self.issuers.spare
+        )
+        self.leaving = False
+
+    def start(self) -> None:
+        self.scheduler.spawn(self.watch.run, name="watch")
+        if self.limiter.peers:
+            self.scheduler.spawn(self.limiter.peers.run, name="peers")
+        self.scheduler.spawn(self.acquirer.run, name="acquirer")
+        self.scheduler.at(self.scheduler.clock() + READY_WITHIN, self.acquirer.ready)
+
+    def _changed(self, event: api.Servers) -> None:
+        # First the module: a leg that has not left for a host that goes ends with `update`, and the module
+        # then chooses anew from the list as it stands.
+        self.limiter.told(event)
+        self.issuers.update(self.table.open_addresses())
+        self.acquirer.ready()
+
+    def leave(self) -> None:
+        """Serves on for a while, answers all that was taken, then ends the loop."""
+        if not self.leaving:
+            self.leaving = True
+            self.scheduler.spawn(self._leave, name="leave")
+
+    def _leave(self) -> None:
+        began = self.scheduler.clock()
+        self.scheduler.sleep(LEAVE_AFTER)
+        self.acquirer.finish()
+        self.scheduler.sleep(STAY - LEAVE_AFTER)
+        self.acquirer.close()
+        while self.acquirer.sessions:
+            self.acquirer.finish()
+            self.scheduler.sleep(STEP)
+        log.info("left after %.2f s", self.scheduler.clock() - began)
+        self.issuers.close()
+        self.scheduler.stop()
+
+
+def serve(config: Config) -> None:
+    """Until SIGTERM or SIGINT. SIGUSR1 prints the counters."""
+    scheduler = sch.Scheduler(sch.Clock())
+    service = Service(config, scheduler)
+    inner, outer = socket.socketpair()
+    for end in (inner, outer):
+        end.setblocking(False)
+    signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        signal.signal(number, lambda *_: None)  # the number comes through the socket pair
+    scheduler.spawn(_signals, service, inner, name="signals")
+    service.start()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 100)
+    scheduler.run()
+    print(service.stats.text(), file=sys.stderr, flush=True)
+
+
+def _signals(service: Service, source: socket.socket) -> None:
+    while True:
+        service.scheduler.wait(source.fileno(), sch.READ)
+        for number in source.recv(64):
+            if number == signal.SIGUSR1:
+                print(service.stats.text(), file=sys.stderr, flush=True)
+            else:
+                service.leave()
--- /dev/null
+++ b/hazelhollow/net/stats.py
@@ -0,0 +1,31 @@
+"""Counters: what the limiter takes in, sends and answers. Plain numbers, printed on request and at exit."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import orjson
+
+from hazelhollow.net.ending import Ending
+
+
+class Stats:
+    def __init__(self) -> None:
+        self.accepted = self.refused_connections = self.commands = self.malformed = 0  # acquirer side
+        self.requests = self.served = self.declined = self.failed = self.clients_gone = 0
+        self.rescued = 0  # requests answered here because the module had not
+        self.legs = self.reused = self.opened = self.no_descriptor = 0  # issuer hosts
+        self.outcomes: Counter[str] = Counter()
+        self.endings: Counter[Ending] = Counter()
+        self.tables = self.watches_lost = 0  # routing
+        self.told = self.heard = self.junk = self.untold = 0  # peers
+        self.errors = 0
+
+    def text(self) -> str:
+        values: dict[str, Any] = {}
+        for name, value in vars(self).items():
+            if isinstance(value, Counter):
+                value = {str(getattr(key, "name", key)).lower(): count for key, count in value.items()}
+            values[name] = value
+        return orjson.dumps(values).decode()
--- /dev/null
+++ b/hazelhollow/net/stream.py
@@ -0,0 +1,132 @@
+"""The thin driver between a socket and the rings: it reads, it writes and it knows no protocol."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net.ending import Ending
+from hazelhollow.net.ring import Ring
+
+CHUNK = 64 * 1024
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+def connect(
+    scheduler: sch.Scheduler,
+    address: tuple[str, int],
+    most: int,
+    timeout: float,
+    keep: Callable[[Stream], None] = lambda stream: None,
+) -> Stream | Ending:
+    """A new connection. Blocks its task until it is up or has failed; `keep` gets hold of it before."""
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:
+        return Ending.NO_DESCRIPTOR
+    stream = Stream(scheduler, sock, most)
+    keep(stream)
+    ending = stream.establish(address, scheduler.clock() + timeout)
+    if ending:
+        stream.close(ending)
+    return ending or stream
+
+
+class Stream:
+    """One connection; one task at a time reads from it."""
+
+    __slots__ = ("scheduler", "out", "written", "ending", "on_broken", "_sock", "_fd", "_dirty", "_task")
+
+    def __init__(self, scheduler: sch.Scheduler, sock: socket.socket, most: int) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.scheduler, self._sock, self._fd = scheduler, sock, sock.fileno()
+        self.out = Ring(most)
+        self.written = 0  # bytes that the system has taken
+        self.ending: Ending | None = None
+        self.on_broken: Callable[[Ending], None] | None = None
+        self._dirty = False
+        self._task: sch.Task | None = None
+
+    def establish(self, address: tuple[str, int], until: float) -> Ending | None:
+        code = self._sock.connect_ex(address)
+        while code in (errno.EINPROGRESS, errno.EINTR):
+            bits = self.wait(until, sch.WRITE)
+            if self.ending:
+                return self.ending
+            if bits == sch.TIMEOUT:
+                return Ending.NEVER_UP
+            if bits != sch.WOKEN:
+                code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code == 0:
+            return None
+        if code in NO_DESCRIPTOR or code == errno.EADDRNOTAVAIL:
+            return Ending.NO_DESCRIPTOR
+        return Ending.REFUSED if code in (errno.ECONNREFUSED, errno.ECONNRESET) else Ending.NEVER_UP
+
+    def wait(self, until: float | None = None, events: int = sch.READ) -> int:
+        """Until there is something to read, or a part of what waits to be written has gone out."""
+        self._task = self.scheduler.current()
+        if self.ending:
+            return sch.WOKEN
+        bits = self.scheduler.wait(self._fd, events | (sch.WRITE if self.out else 0), until)
+        if bits > 0 and bits & sch.WRITE and self.out:
+            self.flush()
+        return bits
+
+    def wake(self) -> None:
+        if self._task:
+            self.scheduler.wake(self._task)
+
+    def read(self, room: int) -> bytes | Ending | None:
+        """What has come; nothing if it was a false alarm."""
+        if self.ending:
+            return self.ending
+        try:
+            return self._sock.recv(min(room, CHUNK)) or Ending.CLOSED
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError:
+            return Ending.RESET
+
+    def write(self, data: bytes) -> None:
+        """Goes out at the end of this turn, or as the other side takes it."""
+        if self.ending is None:
+            self.out.write(data)
+            if not self._dirty:
+                self._dirty = True
+                self.scheduler.later(self.flush)
+
+    def flush(self) -> None:
+        self._dirty = False
+        while self.out and self.ending is None:
+            view = self.out.peek()
+            try:
+                sent = self._sock.send(view)
+            except (BlockingIOError, InterruptedError):
+                self.scheduler.listen_for(self._fd, sch.READ | sch.WRITE)
+                return
+            except OSError:
+                self._broken(Ending.RESET)
+                return
+            finally:
+                view.release()
+            self.written += sent
+            self.out.drop(sent)
+
+    def _broken(self, ending: Ending) -> None:
+        if self.on_broken:
+            self.on_broken(ending)
+        else:
+            self.close(ending)
+
+    def close(self, ending: Ending) -> None:
+        """Drops what was not written. Only the first ending counts."""
+        if self.ending is None:
+            self.ending = ending
+            self.out.clear()
+            self.scheduler.forget(self._fd)
+            self._sock.close()
+            self.wake()
--- a/hollygap/state.py
+++ b/hazelhollow/state.py
@@ -5,8 +5,8 @@
 from collections import deque
 from zlib import crc32
 
-from hollygap import gossip
-from hollygap import interface as api
+from hazelhollow import gossip
+from hazelhollow import interface as api
 
 
 class Store:
--- a/hollygap/wire.py
+++ b/hazelhollow/wire.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from hollygap import interface as api
+from hazelhollow import interface as api
 
 _EFFECTS = {"pure": "safe", "token": "keyed", "side_effect": "unsafe"}
 _STATUSES = {
@@ -79,11 +79,34 @@
     def parts(self, key: str) -> list[Fields]:
         return [Fields(f"{self.name}.{key}", item) for item in self._checked(key, list, [])]
 
+    def texts(self, key: str) -> list[str]:
+        items = self._checked(key, list, [])
+        if not all(isinstance(item, str) for item in items):
+            raise WireError(f"{self.name}: field '{key}' has a wrong type")
+        return list(items)
+
+    def raw(self, key: str) -> dict[str, Any] | None:
+        """An object whose form is another module's concern."""
+        value: dict[str, Any] = self._checked(key, dict, {})
+        return value or None
+
     def report(self) -> dict[str, float]:
         values = self._checked("metrics", dict, {})
         return {_REPORTS[k]: float(v) for k, v in values.items() if k in _REPORTS and type(v) in (int, float)}
 
 
+def read_report(text: bytes) -> dict[str, float]:
+    """A load report as a real issuer host words it: `inflight=7,queue=2`."""
+    report = {}
+    for item in text.decode("ascii", "replace").split(",") if text else ():
+        name, _, value = item.partition("=")
+        try:
+            report[_REPORTS.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    return report
+
+
 def parse_line(line: str) -> tuple[str, Fields]:
     """The name and the fields of one message."""
     try:
@@ -98,10 +121,14 @@
 
 def parse_hello(fields: Fields) -> tuple[api.Settings, int]:
     """A start: the settings and the seed."""
-    params = fields.part("params", needed=True)
+    return parse_settings(fields.part("params", needed=True)), fields.integer("rng_seed")
+
+
+def parse_settings(params: Fields) -> api.Settings:
+    """The settings, which a real limiter's configuration holds in the same form."""
     info, limits = params.part("family_info"), params.part("policy_limits")
     safety, costs = params.part("safety"), params.part("costs")
-    settings = api.Settings(
+    return api.Settings(
         me=params.integer("position"),
         gateways=params.integer("balancers"),
         classes=tuple(_request_class(item) for item in params.parts("grades")),
@@ -122,7 +149,6 @@
         ask_for_servers=params.text("registry_mode", "push") == "ask",
         cross_zone_price=costs.number("cross_zone", 0.0),
     )
-    return settings, fields.integer("rng_seed")
 
 
 def _request_class(item: Fields) -> api.RequestClass:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from hollygap import gossip
-from hollygap import interface as api
-from hollygap.decide import Gateway
+from hazelhollow import gossip
+from hazelhollow import interface as api
+from hazelhollow.decide import Gateway
 from tests.test_gateway import BASIC, LOOKUP, answer, ask, entry, make, only, servers
 
 FLEET, SPREAD = 40, 30
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from hollygap import interface as api
-from hollygap import wire
+from hazelhollow import interface as api
+from hazelhollow import wire
 
 ROOT = Path(__file__).parent.parent
 PARAMS = {
@@ -36,7 +36,7 @@
 def play(messages: list[object], hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     lines = "".join((m if isinstance(m, str) else json.dumps(m)) + "\n" for m in messages)
     return subprocess.run(
-        [sys.executable, "-m", "hollygap.drill"], input=lines, text=True, capture_output=True, cwd=ROOT,
+        [sys.executable, "-m", "hazelhollow.drill"], input=lines, text=True, capture_output=True, cwd=ROOT,
         env={**os.environ, "PYTHONHASHSEED": hash_seed}, timeout=60,
     )  # fmt: skip
 
@@ -106,7 +106,7 @@
 
 
 def test_the_module_keeps_its_limits_of_length() -> None:
-    lines = (ROOT / "hollygap" / "decide.py").read_text().splitlines()
+    lines = (ROOT / "hazelhollow" / "decide.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 400
     assert max(map(len, lines)) <= 110
-    assert "hollygap/interface.py" in "".join(lines[:3])
+    assert "hazelhollow/interface.py" in "".join(lines[:3])
