A decline names the time to come back (-BUSY MS)

Seen: every decline went out as a bare -BUSY, since wire.parse_settings zeroed max_retry_after where the settings' retry_after is false. The module's waits were computed and thrown away.

--- a/hazelhollow/wire.py
+++ b/hazelhollow/wire.py
@@ -141,7 +141,9 @@
         cancelling=limits.flag("cancelling"),
         peers=limits.flag("peers"),
         messages_in_per_s=info.number("inbox_per_s", 60.0),
-        max_retry_after=limits.number("max_retry_after", 0.0) if limits.flag("retry_after") else 0.0,
+        # Also where `retry_after` is false: the simulator drops the advice then, but `-BUSY MS` costs nothing and
+        # a client that reads it need not guess when to come back.
+        max_retry_after=limits.number("max_retry_after", 0.0),
         cold_for=safety.number("cold", 0.0),
         cold_from=safety.number("cold_from", 1.0),
         fall_multiple=safety.number("tip_multiple", 1.0),
