A scenario language and tests for the traps of sockets; at its limit it accepts before it evicts

Seen in the new test for the descriptor limit: at the cap, Acquirer._accept closed an idle client before it knew whether anybody was waiting, and with equal idle times it could close the connection that had just come. It now accepts first and then evicts the idlest of the others. The remaining wait is rounded, not cut, to milliseconds: d=700 went on as 699 after a moment of no time at all.

--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -42,7 +42,9 @@
 def check_config() -> None:
     """Read the configuration and say what it holds, or what is wrong with it."""
     told = _load()
-    click.echo(f"{told.name}: gateway {told.settings.me} of {told.settings.gateways}, listens at {told.listen}")
+    click.echo(
+        f"{told.name}: gateway {told.settings.me} of {told.settings.gateways}, listens at {told.listen}"
+    )
 
 
 @main.command("version")
--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -94,7 +94,7 @@
         self._parser = resp.Parser()
         self._slots: deque[Slot] = deque()
         self._progress = (0, 0.0)  # bytes taken by the client, and since when
-        self.idle_since = 0.0
+        self.idle_since = acquirer.scheduler.clock()
         self.finishing = False
 
     def run(self) -> None:
@@ -253,7 +253,7 @@
                 pass
 
     def _accept(self) -> bool:
-        if len(self.sessions) >= self._most and not self._close_idlest():
+        if len(self.sessions) >= self._most and not any(s.resting() for s in self.sessions):
             self.scheduler.sleep(ACCEPT_PAUSE)
             return False
         try:
@@ -263,9 +263,10 @@
                 self.scheduler.sleep(ACCEPT_PAUSE)  # poll would say at once that a client waits
             return error.errno in stream.NO_DESCRIPTOR
         self.stats.accepted += 1
+        # Only now is it known that room is needed; the one that has come must not be the one that goes.
+        if len(self.sessions) >= self._most:
+            self._close_idlest()
         session = Session(self, stream.Stream(self.scheduler, sock, MOST_OUT))
-        session.idle_since = self.scheduler.clock()
-        session.finishing = False
         self.sessions.add(session)
         self.scheduler.spawn(session.run, name="session")
         return True
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/issuer.py
@@ -105,7 +105,12 @@
 
 class Issuers:
     def __init__(
-        self, scheduler: sch.Scheduler, stats: Stats, connect_timeout: float, conn_idle: float, most_lines: int
+        self,
+        scheduler: sch.Scheduler,
+        stats: Stats,
+        connect_timeout: float,
+        conn_idle: float,
+        most_lines: int,
     ) -> None:
         self._scheduler, self._stats, self._most = scheduler, stats, most_lines
         self._connect_timeout, self._rest = connect_timeout, conn_idle * IDLE_SHARE
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -121,7 +121,14 @@
             self._stats.served += 1
             one.caller.served(result.value)
         event = api.Outcome(
-            one.id, number, leg.host.name, result.status, now - leg.started, one.answered, 0.0, wire.read_report(result.report)
+            one.id,
+            number,
+            leg.host.name,
+            result.status,
+            now - leg.started,
+            one.answered,
+            0.0,
+            wire.read_report(result.report),
         )
         self._handle(event, one)
 
@@ -183,12 +190,14 @@
     def _send(self, action: api.Send, now: float) -> None:
         one = self.open.get(action.id)
         if one is None or one.answered or now >= one.deadline:
-            self._events.append((api.Outcome(action.id, len(one.legs) if one else 0, action.server, "moot", 0.0), one))
+            self._events.append(
+                (api.Outcome(action.id, len(one.legs) if one else 0, action.server, "moot", 0.0), one)
+            )
             return
         number, left = len(one.legs), one.deadline - now
         if 0 < action.timeout < left:
             left = action.timeout
-        command = one.ask.command(max(1, int(left * 1000)))
+        command = one.ask.command(max(1, round(left * 1000)))
         one.out += 1
         leg = self._issuers.start(action.server, command, lambda result: self._leg_done(one, number, result))
         one.legs.append(leg)
--- a/hazelhollow/net/ring.py
+++ b/hazelhollow/net/ring.py
@@ -64,7 +64,9 @@
 
     def clear(self) -> None:
         self._head = self._size = 0
-        if len(self._buffer) > START:  # one large value must not cost its memory for a connection's whole life
+        if (
+            len(self._buffer) > START
+        ):  # one large value must not cost its memory for a connection's whole life
             self._buffer = bytearray(START)
 
     def _grow(self, need: int) -> None:
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,164 @@
+"""A small language for what happens on sockets, and the stage on which it is played.
+
+A scenario is a text of lines `WHO VERB WORDS`; a blank line or one that begins with `#` says nothing.
+
+    a send [PING]           client `a` (any name; it connects when first named) sends a command
+    s1 expect [Q.ASK ...]   issuer host s1 gets just this on its newest connection; `s1.2`: on its second
+    s1 send -BUSY           a line; `\\r\\n` in the words and `[..]` commands are taken as they are
+    a expect nothing        so far; `a expect closed`: the connection is over
+    s1 close                its end of the connection; `s1 stop` does not answer new ones from then on
+    disco send table 7 s1:terminating    discovery's answer to a watch; `whole 7 ...`: the whole list
+    p1 send TEXT            a datagram from the limiter numbered 1
+    wait 0.5                the clock, which nothing else moves, goes on by half a second
+
+Sockets are real, on ports that the system picks; `expect` gives the kernel a moment, nothing sleeps.
+"""
+
+from __future__ import annotations
+
+import re
+import select
+import socket
+from typing import Any
+
+from hazelhollow import interface as api
+from hazelhollow.config import Config
+from hazelhollow.net import resp
+from hazelhollow.net.scheduler import Scheduler
+from hazelhollow.net.service import Service
+
+LOOK = api.RequestClass("look", aim=1.0, deadline=3.0, worth=1.0, effect="safe")
+BUY = api.RequestClass("buy", aim=1.0, deadline=3.0, worth=1.0, effect="keyed", group="cell", window=5.0)
+PLAN = api.Plan("basic", rate=100.0, burst=100.0)
+START = 1_000_000.0
+TURNS = 60  # of the loop, for what is under way to settle; each lets the kernel have a moment at need
+HEAD = "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+
+
+class Stage:
+    """A whole limiter with a clock of its own, and all the parties round it."""
+
+    def __init__(self, hosts: int = 2, **changes: Any) -> None:
+        self.now = START
+        self.scheduler = Scheduler(lambda: self.now)
+        self.listeners = {f"s{n}": self._listener() for n in range(1, hosts + 1)} | {"disco": self._listener()}
+        self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.peer.bind(("127.0.0.1", 0))
+        self.ends: dict[str, list[socket.socket]] = {}
+        known = self.table("whole", 1, *(f"s{n}:in_service" for n in range(1, hosts + 1)))
+        settings = api.Settings(0, 2, (LOOK, BUY), (PLAN,), zone="a", max_attempts=3, peers=True, max_retry_after=1.0)
+        values: dict[str, Any] = {
+            "name": "n0", "listen": ("127.0.0.1", 0), "seed": 1, "settings": settings, "known": known,
+            "discovery": self.listeners["disco"].getsockname(), "peer_listen": ("127.0.0.1", 0),
+            "peers": (("127.0.0.1", 9), self.peer.getsockname()), **changes,
+        }  # fmt: skip
+        self.service = Service(Config(**values), self.scheduler)
+        self.service.start()
+        self.settle()
+
+    def _listener(self) -> socket.socket:
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setblocking(False)
+        return sock
+
+    def table(self, kind: str, version: int, *hosts: str) -> dict[str, Any]:
+        entries = []
+        for host in hosts:
+            name, status = host.split(":")
+            address = "{}:{}".format(*self.listeners[name].getsockname())
+            entries.append({"name": name, "address": address, "zone": "a", "group": 0, "status": status})
+        return {"index": version, "snapshot": kind == "whole", "endpoints": entries}
+
+    def settle(self, turns: int = TURNS) -> None:
+        for _ in range(turns):
+            self.scheduler.turn(longest=0.0)
+
+    def play(self, text: str) -> None:
+        for number, line in enumerate(text.strip().splitlines(), 1):
+            words = line.split(None, 2)
+            if not words or words[0].startswith("#"):
+                continue
+            try:
+                if words[0] == "wait":
+                    self._wait(float(words[1]))
+                else:
+                    getattr(self, "_" + words[1])(words[0], words[2] if len(words) > 2 else "")
+            except (AssertionError, OSError) as error:
+                raise AssertionError(f"line {number}: {line.strip()}: {error}") from None
+
+    def _wait(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.05)
+            self.settle(3)
+        self.settle()
+
+    def _end(self, who: str) -> socket.socket:
+        """The test's end of a connection."""
+        name, _, number = who.partition(".")
+        ends = self.ends.setdefault(name, [])
+        if name in self.listeners and self.listeners[name].fileno() >= 0:
+            for _ in range(TURNS):
+                self.settle(1)
+                try:
+                    ends.append(self.listeners[name].accept()[0])
+                    ends[-1].setblocking(False)
+                except BlockingIOError:
+                    if len(ends) >= int(number or 1):
+                        break
+                    select.select([self.listeners[name]], [], [], 0.002)
+        elif not ends:
+            ends.append(socket.create_connection(self.service.acquirer.address))
+            ends[0].setblocking(False)
+        assert ends, "no connection"
+        return ends[int(number or 0) - 1]
+
+    def bytes_of(self, words: str) -> bytes:
+        kind, _, rest = words.partition(" ")
+        if kind in ("table", "whole"):
+            version, *hosts = rest.split()
+            import orjson
+
+            body = orjson.dumps(self.table(kind, int(version), *hosts)).decode()
+            return (HEAD % (len(body), body)).encode()
+        if words.startswith("["):
+            return resp.command([word.encode() for word in words.strip("[]").split()])
+        return words.encode().decode("unicode_escape").encode() + b"\r\n"
+
+    def _send(self, who: str, words: str) -> None:
+        if who == "p1":
+            assert self.service.limiter.peers
+            self.peer.sendto(words.encode(), self.service.limiter.peers.address)
+        else:
+            self._end(who).sendall(self.bytes_of(words))
+        self.settle()
+
+    def _expect(self, who: str, words: str) -> None:
+        end, got = self._end(who), b""
+        pattern = b"" if words in ("nothing", "closed") else re.escape(self.bytes_of(words)).replace(rb"\*\*", b".*")
+        over = False
+        for turn in range(TURNS):
+            self.settle(1)
+            try:
+                data = end.recv(1 << 20)
+                over, got = not data, got + data
+            except BlockingIOError:
+                if turn < 5 or words != "nothing":
+                    select.select([end], [], [], 0.002)
+            except ConnectionResetError:
+                over = True
+            if over or (pattern and re.fullmatch(pattern, got, re.S)):
+                break
+        if words == "closed":
+            assert over and not got, got
+        else:
+            assert not over and re.fullmatch(pattern, got, re.S), got or "nothing came"
+
+    def _close(self, who: str, words: str) -> None:
+        end = self._end(who)
+        self.ends[who.partition(".")[0]].remove(end)
+        end.close()
+        self.settle()
+
+    def _stop(self, who: str, words: str) -> None:
+        self.listeners[who].close()
--- /dev/null
+++ b/tests/test_net_parts.py
@@ -0,0 +1,147 @@
+"""The parts of the network side that know no socket."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hazelhollow import config
+from hazelhollow.net import http1, resp
+from hazelhollow.net.ending import Ending, outcome
+from hazelhollow.net.ring import Ring, RingFull
+from hazelhollow.net.scheduler import Clock, Scheduler
+
+STREAM = b"*3\r\n$5\r\nva\r\nl\r\n$-1\r\n$0\r\n\r\n+OK\r\n-ERR failed a=1\r\n*-1\r\n*0\r\n:-12\r\n*1\r\n*1\r\n$1\r\nx\r\n"
+VALUES = [[b"va\r\nl", None, b""], b"OK", b"ERR failed a=1", None, [], -12, [[b"x"]]]
+
+
+def values(parts: list[bytes]) -> list[resp.Value]:
+    parser, got = resp.Parser(), []
+    for part in parts:
+        parser.feed(part)
+        while not isinstance(value := parser.next(), resp.More):
+            got.append(value)
+    return got
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=12))
+def test_resp_may_be_split_at_any_byte(cuts: list[int]) -> None:
+    edges = [0, *sorted(cuts), len(STREAM)]
+    assert values([STREAM[a:b] for a, b in zip(edges, edges[1:], strict=False)]) == VALUES
+
+
+def test_resp_by_single_bytes_and_with_the_largest_value() -> None:
+    assert values([STREAM[i : i + 1] for i in range(len(STREAM))]) == VALUES
+    large = b"\r\n" * (resp.MOST_BYTES // 2)
+    assert values([resp.bulk(large)[:7], resp.bulk(large)[7:]]) == [large]
+
+
+@pytest.mark.parametrize(
+    "junk",
+    [b"x\r\n", b"\r\n", b"$-2\r\n", b"$65537\r\n", b"$1\r\nabc", b"*65\r\n", b"*1\r\n" * 5, b":1.5\r\n", b"$\r\n",
+     b"+" + b"a" * 5000, b"$ 1\r\n", b":--1\r\n"],
+)  # fmt: skip
+def test_resp_that_is_malformed_or_too_large_is_an_error(junk: bytes) -> None:
+    with pytest.raises(resp.ProtocolError):
+        values([junk])
+
+
+@given(st.binary(max_size=300))
+def test_no_bytes_make_the_parsers_fail_otherwise(junk: bytes) -> None:
+    http = http1.Parser()
+    http.feed(junk)
+    for read in (lambda: values([junk]), http.next):
+        try:
+            read()
+        except resp.ProtocolError:
+            continue
+
+
+@given(st.lists(st.tuples(st.binary(max_size=3000), st.integers(0, 3000))))
+def test_a_ring_gives_what_was_written_in_its_order(steps: list[tuple[bytes, int]]) -> None:
+    ring, model = Ring(8192), b""
+    for data, count in steps:
+        if len(data) > ring.room():
+            with pytest.raises(RingFull):
+                ring.write(data)
+        else:
+            ring.write(data)
+            model += data
+        assert ring.find(b"\0") == model.find(b"\0") and model.startswith(bytes(ring.peek()))
+        count = min(count, len(model))
+        assert ring.take(count) == model[:count]
+        model = model[count:]
+        assert len(ring) == len(model)
+
+
+@pytest.mark.parametrize("step", [1, 7, 1000])
+def test_http_answers_by_length_and_in_chunks(step: int) -> None:
+    stream = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+        b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3;x\r\nabc\r\n1\r\nd\r\n0\r\nA: b\r\n\r\n"
+    )
+    parser, got = http1.Parser(), []
+    for at in range(0, len(stream), step):
+        parser.feed(stream[at : at + step])
+        while answer := parser.next():
+            got.append((answer.status, answer.body, answer.keep))
+    assert got == [(200, b"{}", True), (503, b"abcd", False)]
+
+
+def test_every_ending_has_its_outcome_and_none_after_the_last_byte_says_never_ran() -> None:
+    never = {"connect_failed", "full", "moot"}
+    assert all(outcome(ending, written=True) not in never for ending in Ending)
+    assert outcome(Ending.CLOSED, written=False) == "connect_failed" and outcome(Ending.CLOSED, True) == "reset"
+
+
+def test_the_clock_is_unix_time_and_never_goes_back() -> None:
+    wall, steady = iter([5000.0, 10.0]), iter([7.0, 7.5, 8.0])
+    clock = Clock(lambda: next(wall), lambda: next(steady))
+    assert [clock(), clock()] == [5000.5, 5001.0]  # though the wall's clock was set back
+
+
+def test_timers_run_in_their_order_and_an_error_ends_one_task_only() -> None:
+    now, seen = [0.0], []
+    scheduler = Scheduler(lambda: now[0])
+    scheduler.at(2.0, seen.append, "second")
+    scheduler.at(1.0, seen.append, "first")
+    scheduler.at(1.5, seen.append, "never").cancel()
+    scheduler.spawn(lambda: 1 / 0, name="broken")
+    scheduler.spawn(lambda: (scheduler.sleep(1.7), seen.append("task")), name="sleeper")
+    for now[0] in (0.0, 1.0, 1.7, 2.0):
+        scheduler.turn(longest=0.0)
+        scheduler.turn(longest=0.0)
+    assert seen == ["first", "task", "second"]
+
+
+GOOD = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff", "settings": {
+    "position": 0, "balancers": 1, "grades": [{"name": "a", "objective": 1, "deadline": 2, "effect": "pure"}],
+    "tariffs": [], "policy_limits": {"conn_idle": 12.0}}, "peers": ["127.0.0.1:3"], "limits": {"sockets": 99}}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    "change, word",
+    [({"listen": "nowhere"}, "nowhere"), ({"settings": {}}, "position"), ({"seed": "xyz"}, "xyz"),
+     ({"peers": [1]}, "peers"), ({"limits": {"sockets": "many"}}, "sockets"), (None, "No such file")],
+)  # fmt: skip
+def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, change: object, word: str) -> None:
+    path = tmp_path / "config.json"
+    if isinstance(change, dict):
+        path.write_bytes(orjson.dumps({**GOOD, **change}))
+    command = [sys.executable, "-m", "hazelhollow", "check-config"]
+    run = subprocess.run(command, env={"RELAY_CONFIG": str(path)}, text=True, capture_output=True, timeout=60)
+    assert run.returncode == 2 and len(run.stderr.splitlines()) == 1 and word in run.stderr
+
+
+def test_a_good_configuration_is_read_and_the_variables_come_first(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(GOOD))
+    told = config.load({"RELAY_CONFIG": str(path), "RELAY_LISTEN": "127.0.0.9:7"})
+    assert (told.listen, told.seed, told.conn_idle, told.sockets) == (("127.0.0.9", 7), 255, 12.0, 99)
+    assert told.peers == (("127.0.0.1", 3),) and told.settings.gateways == 1
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,265 @@
+"""What happens on the sockets of a whole limiter, told as scenarios (the language: tests/scenario.py)."""
+
+from __future__ import annotations
+
+import pytest
+
+from hazelhollow import interface as api
+from tests.scenario import Stage
+
+ASK = "[Q.ASK 00000000b4d65521 r{0} c=look,t=basic,d=1000,units=1,spread=2,first=0]"
+DO = "[Q.DO 00000000b4d65521 r{0} c=buy,t=basic,d=1000,k=5c0f,units=1,spread=2,first=0 BODY]"
+VALUE = r"*3\r\n$2\r\nhi\r\n$-1\r\n$27\r\ninflight=7,queue=2,util=0.6"
+READY = "disco send whole 1 s1:in_service"
+
+
+def ask(number: int, ms: int = 1000) -> str:
+    return ASK.format(number).replace("d=1000", f"d={ms}")
+
+
+SCENARIOS = {
+    "a request passes unchanged but for its wait, and its value comes back": f"""
+        a send {DO.format(1).replace("d=1000", "d=700")}
+        s1 expect {DO.format(1).replace("d=1000", "d=700")}
+        s1 send {VALUE}
+        a expect $2\\r\\nhi""",
+    "an answer that is split at odd places is one answer": f"""
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        s1 send *3
+        s1 send $2
+        a expect nothing
+        s1 send hi\\r\\n$-1
+        s1 send $-1
+        a expect $2\\r\\nhi""",
+    "a connection is used again, one leg at a time": f"""
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        b send {ask(2)}
+        s1.2 expect {ask(2)}
+        s1.2 send {VALUE}
+        b expect $2\\r\\nhi
+        b send {ask(3)}
+        s1.2 expect {ask(3)}
+        s1.1 expect nothing""",
+    "pipelined requests are answered in their order": f"""
+        wait 0.6
+        a send {ask(1)}
+        a send {ask(2)}
+        a send [PING]
+        s1.1 expect {ask(1)}
+        s1.2 expect {ask(2)}
+        s1.2 send {VALUE.replace("hi", "no")}
+        a expect nothing
+        s1.1 send {VALUE}
+        a expect $2\\r\\nhi\\r\\n$2\\r\\nno\\r\\n+PONG""",
+    "a host's BUSY is the module's to judge, not the client's": f"""
+        a send {DO.format(1)}
+        s1 expect {DO.format(1)}
+        s1 send -BUSY inflight=3
+        s1 expect {DO.format(1)}
+        s1 send {VALUE}
+        a expect $2\\r\\nhi""",
+    "an error of a safe class is tried again": f"""
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        s1 send -ERR failed
+        s1 expect {ask(1)}
+        s1 send {VALUE}
+        a expect $2\\r\\nhi""",
+    "a keyed leg that may have run bars a decline": f"""
+        a send {DO.format(1)}
+        s1 expect {DO.format(1)}
+        s1 stop
+        s1 close
+        a expect -ERR failed""",
+    "a leg that never ran may be declined, with a time to come back": f"""
+        s1 stop
+        a send {DO.format(1)}
+        a expect -BUSY 250""",
+    "a decline names its wait": """
+        a send [Q.ASK 00000000b4d65521 r1 c=look,t=basic,d=900,units=500,spread=2,first=0]
+        a expect -BUSY 1000""",
+    "at the deadline the leg is given up and the client has its answer": f"""
+        a send {DO.format(1)}
+        s1 expect {DO.format(1)}
+        wait 0.9
+        a expect nothing
+        wait 0.15
+        a expect -ERR failed
+        s1 expect closed""",
+    "a null value is none": f"""
+        a send {DO.format(1)}
+        s1 expect {DO.format(1)}
+        s1 send *3\\r\\n$-1\\r\\n$-1\\r\\n$-1
+        s1.1 expect closed""",
+    "what comes behind an answer ends the connection": f"""
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        s1 send {VALUE}\\r\\n+OK
+        s1.1 expect closed""",
+    "an idle connection that the host has closed is not used": f"""
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        s1 send {VALUE}
+        a expect $2\\r\\nhi
+        s1 close
+        a send {ask(2)}
+        s1 expect {ask(2)}""",
+    "an idle connection is closed long before the host would": f"""
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        s1 send {VALUE}
+        a expect $2\\r\\nhi
+        wait 17
+        s1 expect closed""",
+    "a draining host gets nothing new but finishes what it has": f"""
+        disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
+        {READY}
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        disco expect GET /discovery/hosts?from=1&hold_ms=5000 HTTP/1.1\\r\\n**\\r\\n
+        disco send table 2 s1:terminating
+        b send {ask(2)}
+        b expect -BUSY 250
+        s1 send {VALUE}
+        a expect $2\\r\\nhi
+        s1 expect closed""",
+    "a silent discovery is asked again on a new connection": f"""
+        disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
+        wait 1.2
+        disco.2 expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
+        disco.2 send table 1
+        disco.2 expect GET /discovery/hosts?from=1&hold_ms=5000 HTTP/1.1\\r\\n**\\r\\n
+        wait 6.2
+        disco.3 expect GET /discovery/hosts?from=1&hold_ms=5000 HTTP/1.1\\r\\n**\\r\\n
+        disco.3 send HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\nnull
+        wait 0.2
+        disco.4 expect GET /discovery/hosts?from=1&hold_ms=5000 HTTP/1.1\\r\\n**\\r\\n
+        a send {ask(1)}
+        s1 expect {ask(1)}""",
+    "PING waits until the limiter is ready": f"""
+        a send [PING]
+        a expect nothing
+        disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
+        {READY}
+        a expect +PONG""",
+    "without discovery it is ready with the list that it knows": f"""
+        a send [PING]
+        wait 0.6
+        a expect +PONG
+        a send {ask(1)}
+        s1 expect {ask(1)}""",
+    "malformed input costs its sender an error and the connection, and nobody else": f"""
+        b send {ask(1)}
+        a send GET / HTTP/1.1
+        a expect -ERR protocol error: an unknown type
+        a expect closed
+        c send *1\\r\\n$99999999
+        c expect -ERR protocol error: a length out of range
+        s1 expect {ask(1)}
+        s1 send {VALUE}
+        b expect $2\\r\\nhi""",
+    "a bad request is an error, and the connection goes on": """
+        a send [Q.ASK x r1 c=look,d=soon]
+        a expect -ERR unreadable request
+        a send [Q.ASK x]
+        a expect -ERR wrong number of arguments
+        a send [FLUSHALL]
+        a expect -ERR unknown command
+        a send [CLIENT SETNAME x]
+        a expect +OK""",
+    "junk from peers changes nothing": f"""
+        p1 send \x00\x01
+        p1 send {"h" * 300}
+        a send {ask(1)}
+        s1 expect {ask(1)}""",
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario(name: str) -> None:
+    Stage(hosts=1).play(SCENARIOS[name])
+
+
+def test_a_client_that_leaves_is_told_to_the_module_and_its_leg_is_read_to_the_end() -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}\na close")
+    assert stage.service.stats.clients_gone == 1 and len(stage.service.limiter.open) == 1
+    stage.play(f"s1 send {VALUE}\nb send {ask(2)}\ns1.1 expect {ask(2)}")
+    assert stage.service.stats.served == 0 and list(stage.service.limiter.open) == ["r2"]
+
+
+def test_a_refused_connection_never_ran_and_another_host_is_tried() -> None:
+    stage = Stage(hosts=2)
+    stage.play(f"s1 stop\na send {DO.format(1)}\ns2 expect {DO.format(1)}\ns2 send {VALUE}\na expect $2\\r\\nhi")
+    assert set(stage.service.stats.outcomes) <= {"ok", "connect_failed"}
+
+
+def test_a_leg_that_has_not_left_for_a_host_that_drains_goes_to_another() -> None:
+    """A connection may come up after the host was told to drain, and 250 ms are soon over."""
+    stage = Stage(hosts=2)
+    stage.play("disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n")
+    stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 2, "s1:in_service")))
+    stage.service.issuers.update({"s1": ("127.0.0.1", 9)})
+    done: list[str] = []
+    leg = stage.service.issuers.start("s1", b"x" * 10, lambda result: done.append(result.status))
+    assert leg.line and not leg.line.touched()
+    stage.service.issuers.update({})
+    assert done == ["connect_failed"]
+
+
+def test_an_error_in_the_module_costs_one_request_its_answer_and_no_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage, seen = Stage(hosts=1), []
+    whole = stage.service.limiter._decisions.handle
+
+    def handle(event: api.Event, now: float) -> list[api.Action]:
+        seen.append(now)
+        if isinstance(event, api.Request) and event.id == "r1":
+            raise RuntimeError("broken")
+        return whole(event, now)
+
+    monkeypatch.setattr(stage.service.limiter._decisions, "handle", handle)
+    stage.play(f"a send {ask(1)}\na expect -ERR failed\na send {ask(2)}\ns1 expect {ask(2)}")
+    assert stage.service.stats.errors == 1 and seen == sorted(seen)
+
+
+def test_a_request_that_the_module_forgets_is_answered_at_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage = Stage(hosts=1)
+    monkeypatch.setattr(stage.service.limiter._decisions, "handle", lambda event, now: [])
+    stage.play(f"a send {ask(1)}\na expect nothing\nwait 1.01\na expect -ERR failed")
+    assert not stage.service.limiter.open and stage.service.stats.rescued == 1
+
+
+def test_at_sigterm_it_serves_on_and_leaves_once_all_is_answered() -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1, 2500)}\ns1 expect {ask(1, 2500)}\nb send [PING]\nwait 0.5\nb expect +PONG")
+    stage.service.leave()
+    stage.play(f"""
+        wait 0.4
+        c send {ask(2, 2500)}
+        s1.2 expect {ask(2, 2500)}
+        s1.2 send {VALUE}
+        c expect $2\\r\\nhi
+        wait 0.2
+        b expect closed
+        c expect closed
+        wait 0.5
+        a expect nothing
+        s1.1 send {VALUE}
+        a expect $2\\r\\nhi
+        a expect closed""")
+    assert not stage.service.acquirer.sessions
+    stage.play("wait 0.1")
+    assert stage.scheduler._stopped
+
+
+def test_a_limiter_out_of_descriptors_gives_up_idle_connections_first() -> None:
+    stage = Stage(hosts=2, sockets=0)  # leaves room for 6 to issuer hosts and 9 from clients
+    for number in range(8):
+        stage.play(f"c{number} send {ask(number)}")
+    stage.settle()
+    assert stage.service.stats.no_descriptor >= 2 and stage.service.issuers._count == 6
+    for number in range(20):
+        stage.play(f"d{number} send [CLIENT]\nd{number} expect +OK")
+    assert len(stage.service.acquirer.sessions) <= 9
