--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 .PHONY: build dev test lint run
 
 build:
-	test -d .venv || (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt)
+	$(PYTHON) -c 'import click, greenlet, orjson' 2>/dev/null || (python3 -m venv --clear .venv && .venv/bin/pip -q install -r requirements.txt)
 
 dev: build
 	.venv/bin/pip -q install -r requirements-dev.txt
--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -319,27 +319,28 @@
         for server in self.servers.values():
             server.width = max(WIDTH * server.entry.weight / mean, WIDTH / 4)
 
-    def _backlog(self, server: Server) -> float:
+    def _heard(self) -> list[dict[str, float]]:
+        return [load for at, load in self.loads.values() if at > self.now - SILENT * PERIOD]
+
+    def _backlog(self, server: Server, heard: list[dict[str, float]]) -> float:
         """Seconds of work out at a server, by this gateway and by those heard of lately."""
-        fresh = self.now - SILENT * PERIOD
-        told = sum(load.get(server.tag, 0.0) for at, load in self.loads.values() if at > fresh)
-        return sum(server.out.values()) + told
+        return sum(server.out.values()) + sum([load.get(server.tag, 0.0) for load in heard])
 
     def _choose(self, held: Held) -> tuple[Server | None, float]:
         """The server of least expected delay among those that the gate allows, and that delay."""
-        work, kind, best = self._work(held), held.kind, None
+        work, kind, best, heard = self._work(held), held.kind, None, self._heard()
         for rescue, servers in self._candidates():
             for server in servers:
-                legal = server.entry.state == "up" and may_send(held, server, self.settings, self.now)
-                if not legal or not (rescue or self._fit(server, kind.name)) or not self._warm(server, work):
+                gate = not held.attempts or may_send(held, server, self.settings, self.now)
+                fit = server.entry.state == "up" and gate and (rescue or self._fit(server, kind.name))
+                if not fit or not self._warm(server, work):
                     continue
-                delay = server.pace * (work + self._backlog(server) / server.width)
+                delay = server.pace * (work + self._backlog(server, heard) / server.width)
                 away = server.entry.zone != self.settings.zone
-                aims = away * ZONE_DELAY * self.settings.cross_zone_price
-                aims += sum(a.server is server for a in held.attempts)
+                aims = away * ZONE_DELAY * self.settings.cross_zone_price + held.tried(server)
                 blind = 1.0 if self.small else self.random.expovariate(server.width / WIDTH)
                 rank = (blind * delay + aims * kind.aim, self.random.random(), delay, server)
-                best = min(best or rank, rank, key=lambda r: r[:2])
+                best = rank if best is None or rank[:2] < best[:2] else best
             if best:
                 return best[3], best[2]
         return None, 0.0
@@ -355,8 +356,8 @@
 
     def _fit(self, server: Server, kind: str) -> bool:
         """It may fail one class and serve the rest. Its term over, it comes back by one attempt at a time."""
-        known = [server.health[name] for name in ("", kind) if name in server.health]
-        return all(h.failures < EJECT_AFTER or (self.now >= h.until and not server.out) for h in known)
+        known = [server.health[name] for name in ("", kind) if name in server.health] if server.health else []
+        return all([h.failures < EJECT_AFTER or (self.now >= h.until and not server.out) for h in known])
 
     def _warm(self, server: Server, work: float) -> bool:
         """Rule 4: a cold server's load stays under its share of what the warm ones are sent, by each gateway
@@ -381,7 +382,7 @@
 
     def _send(self, held: Held, server: Server) -> None:
         work, number = self._work(held), len(held.attempts)
-        held.attempts.append(Attempt(server, self.now, work, self._backlog(server)))
+        held.attempts.append(Attempt(server, self.now, work, self._backlog(server, self._heard())))
         server.out[held.event.id, number] = work
         (server.sent if self._cold(server) else self.warm_sent).add(self.now, work)
         self.actions.append(api.Send(held.event.id, server.entry.server))
--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -38,7 +38,7 @@
             raise BadCommand("wrong number of arguments")
         try:
             text = words[3].decode("ascii")
-            fields = dict(item.split("=", 1) for item in text.split(","))
+            fields = dict([item.split("=", 1) for item in text.split(",")])
             self.request = api.Request(
                 id=words[2].decode("ascii"),
                 class_name=fields["c"],
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -82,8 +82,9 @@
             request = api.Request(**{**vars(request), "id": key})
         one = Open(key, ask, caller, self._scheduler.clock() + request.patience)
         self.open[key] = one
-        one.timer = self._scheduler.at(one.deadline, self._expire, one)
         self._handle(request, one)
+        if not one.answered:  # most declines come at once and need no timer
+            one.timer = self._scheduler.at(one.deadline, self._expire, one)
         return one
 
     def gone(self, one: Open) -> None:
--- a/hazelhollow/net/resp.py
+++ b/hazelhollow/net/resp.py
@@ -53,8 +53,28 @@
         """Between values: nothing of the next one has come."""
         return not self.ring and not self._stack and self._bulk < 0
 
+    def _whole(self) -> list[Value] | None:
+        """The usual case, all that has come is one array of plain strings, in a quarter of the steps."""
+        view = self.ring.peek()
+        if len(view) != len(self.ring) or len(view) > MOST_LINE or view[0] != 42:  # `*`
+            return None
+        parts = bytes(view).split(b"\r\n")
+        words = parts[2::2]
+        if parts[-1] or len(parts) != 2 * len(words) + 2 or not words or len(words) > MOST_ITEMS:
+            return None
+        if parts[0] != b"*%d" % len(words) or parts[1:-1:2] != [b"$%d" % len(word) for word in words]:
+            return None
+        self.ring.clear()
+        return list(words)
+
     def next(self) -> Value | More:
         ring = self.ring
+        if not ring:
+            return MORE
+        if self._bulk < 0 and not self._stack:
+            words = self._whole()
+            if words is not None:
+                return words
         while True:
             value: Value
             if self._bulk >= 0:
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -143,7 +143,11 @@
         self.inside = self.ended = False
 
     def out(self) -> bool:
-        return any(a.out for a in self.attempts)
+        return any([a.out for a in self.attempts])
+
+    def tried(self, server: Server) -> int:
+        """How many attempts have gone to a server."""
+        return sum([a.server is server for a in self.attempts]) if self.attempts else 0
 
 
 class Memory:
