--- a/hazelhollow/config.py
+++ b/hazelhollow/config.py
@@ -64,7 +64,7 @@
     policy = settings.part("policy_limits")
     return Config(
         name=fields.text("name", ""),
-        listen=address(fields.text("listen")),
+        listen=address(fields.text("listen"), least_port=0),
         discovery=address(fields.text("discovery")),
         seed=int(fields.text("seed", "0"), 16),
         settings=wire.parse_settings(settings),
@@ -80,9 +80,10 @@
     )
 
 
-def address(text: str) -> Address:
+def address(text: str, least_port: int = 1) -> Address:
+    """`host:port`; a port of 0, where it is allowed, lets the system pick one."""
     host, colon, port = text.rpartition(":")
-    if not (colon and host and port.isdigit() and 0 < int(port) < 65536):
+    if not (colon and host and port.isascii() and port.isdigit() and least_port <= int(port) < 65536):
         raise ValueError(f"'{text}' is not host:port")
     return host, int(port)
 
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -97,6 +97,7 @@
         signal.signal(number, lambda *_: None)  # the number comes through the socket pair
     scheduler.spawn(_signals, service, inner, name="signals")
     service.start()
+    log.info("%s listens at %s:%d", config.name, *service.acquirer.address)
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 100)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -150,3 +152,22 @@
     told = config.load({"RELAY_CONFIG": str(path), "RELAY_LISTEN": "127.0.0.9:7"})
     assert (told.listen, told.seed, told.conn_idle, told.sockets) == (("127.0.0.9", 7), 255, 12.0, 99)
     assert told.peers == (("127.0.0.1", 3),) and told.settings.gateways == 1
+
+
+def test_the_program_serves_until_sigterm_and_prints_its_counters(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps({**GOOD, "listen": "127.0.0.1:0"}))
+    command = [sys.executable, "-m", "hazelhollow", "serve"]
+    with subprocess.Popen(command, env={"RELAY_CONFIG": str(path)}, text=True, stderr=subprocess.PIPE) as program:
+        assert program.stderr
+        line = next(line for line in program.stderr if "listens at" in line)
+        with socket.create_connection(("127.0.0.1", int(line.rpartition(":")[2])), timeout=30) as client:
+            client.sendall(resp.command([b"PING"]))
+            assert client.recv(99) == b"+PONG\r\n"  # though no discovery answers
+            program.send_signal(signal.SIGUSR1)
+            program.send_signal(signal.SIGTERM)
+            client.sendall(resp.command([b"SELECT", b"0"]))
+            assert client.recv(99) == b"+OK\r\n"
+            assert client.recv(99) == b""
+        assert program.wait(30) == 0
+        assert program.stderr.read().count('"accepted":1') == 2
