--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -9,6 +9,7 @@
 import click
 
 from hazelhollow import __version__, config
+from hazelhollow.net import routing, service
 
 
 @click.group(help="A rate limiter that holds quotas by plan across a fleet of gateways.")
@@ -29,8 +30,6 @@
     logging.basicConfig(
         level=log_level.upper(), stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
-    from hazelhollow.net import service
-
     told = _load()
     try:
         service.serve(told)
@@ -55,8 +54,11 @@
 
 def _load() -> config.Config:
     try:
-        return config.load(os.environ)
-    except config.ConfigError as error:
+        told = config.load(os.environ)
+        if told.known is not None:
+            routing.Table().apply(told.known)
+        return told
+    except (config.ConfigError, routing.TableError) as error:
         _fail(str(error))
         raise AssertionError from None
 
--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -19,6 +19,8 @@
 STALL = 10.0  # seconds without a byte taken, after which a client is given up
 BACKLOG = 1024
 ACCEPT_PAUSE = 0.05  # when no descriptor is left
+MEMORY_SHARE = 0.25  # of the limit: what all clients together may make this limiter hold
+RELIEF = 0.5  # seconds between looks at it
 
 log = logging.getLogger(__name__)
 
@@ -30,7 +32,7 @@
 class Ask:
     """`Q.ASK` or `Q.DO`, read; it can be said again with another wait and nothing else changed."""
 
-    __slots__ = ("request", "_words", "_before", "_after")
+    __slots__ = ("request", "size", "_words", "_before", "_after")
 
     def __init__(self, words: list[bytes], late: float) -> None:
         """`late`: how long ago it may have arrived."""
@@ -54,7 +56,7 @@
             raise BadCommand("unreadable request") from None
         start = 0 if text.startswith("d=") else text.index(",d=") + 1
         end = text.find(",", start)
-        self._words = words
+        self._words, self.size = words, sum(map(len, words))
         self._before, self._after = words[3][: start + 2], words[3][end:] if end >= 0 else b""
 
     def command(self, wait_ms: int) -> bytes:
@@ -65,15 +67,15 @@
 class Slot:
     """The place of one command in its connection's order of answers."""
 
-    __slots__ = ("session", "answer", "open")
+    __slots__ = ("session", "answer", "open", "size")
 
     def __init__(self, session: Session) -> None:
-        self.session = session
+        self.session, self.size = session, 0
         self.answer: bytes | None = None
         self.open: Open | None = None
 
     def settle(self, answer: bytes) -> None:
-        self.answer = answer
+        self.answer, self.size = answer, len(answer)
         self.session.push()
 
     def served(self, value: bytes) -> None:
@@ -116,6 +118,10 @@
         """Between requests, so that it may be closed."""
         return not self._slots and not self._driver.out and self._parser.idle()
 
+    def held(self) -> int:
+        """Bytes in memory on this client's account."""
+        return len(self._parser.ring) + len(self._driver.out) + sum([slot.size for slot in self._slots])
+
     def finish(self) -> None:
         """To be closed between requests, now or after the last answer."""
         self.finishing = True
@@ -199,6 +205,7 @@
             except BadCommand as error:
                 slot.settle(b"-ERR %b\r\n" % str(error).encode())
                 return
+            slot.size = ask.size
             slot.open = acquirer.limiter.ask(ask, slot)
         elif verb == b"PING":
             acquirer.when_ready(lambda: slot.settle(b"+PONG\r\n"))
@@ -220,14 +227,15 @@
         limiter: Limiter,
         listen: tuple[str, int],
         most_sessions: int,
+        most_held: int,
         spare: Callable[[], bool],
     ) -> None:
         self.scheduler, self.stats, self.limiter = scheduler, stats, limiter
         self.sessions: set[Session] = set()
-        self._most, self._spare = most_sessions, spare
+        self._most, self._most_held, self._spare = most_sessions, most_held, spare
         self._ready = False
         self._waiting: list[Callable[[], None]] = []
-        self._finishing = False
+        scheduler.at(scheduler.clock() + RELIEF, self._relieve)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -279,6 +287,18 @@
             min(resting, key=lambda s: s.idle_since).end(Ending.NO_DESCRIPTOR)
         return bool(resting)
 
+    def _relieve(self) -> None:
+        """Many slow clients at once may hold more than there is, each within its own bound: the largest go."""
+        self.scheduler.at(self.scheduler.clock() + RELIEF, self._relieve)
+        held = {session: session.held() for session in self.sessions}
+        total = sum(held.values())
+        for session in sorted(held, key=held.__getitem__, reverse=True):
+            if total <= self._most_held:
+                break
+            total -= held[session]
+            self.stats.relieved += 1
+            session.end(Ending.STALLED)
+
     def finish(self) -> None:
         """Sessions end between requests; new ones are still taken."""
         for session in list(self.sessions):
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/issuer.py
@@ -68,11 +68,15 @@
     def __init__(self, host: Host) -> None:
         self.host = host
         self.leg: Leg | None = None
-        self.stream: stream.Stream | None = None  # while it opens there is none
+        self.stream: stream.Stream | None = None
         self.parser = resp.Parser()
         self.idle_since = 0.0
         self._mark = 0  # bytes written before this leg's
 
+    def opening(self, driver: stream.Stream) -> None:
+        """A connection that is not up yet can be given up too."""
+        self.stream = driver
+
     def begin(self) -> None:
         if self.stream and self.leg:
             self._mark = self.stream.written
@@ -159,7 +163,7 @@
                 line.begin()
                 line.stream.wake()
                 return leg
-        if self._count >= self._most and not self._spare():
+        if self._count >= self._most and not self.spare():
             self._stats.no_descriptor += 1
             self._scheduler.later(lambda: leg.finish(Result(outcome(Ending.NO_DESCRIPTOR, False))))
             return leg
@@ -199,9 +203,6 @@
 
     def spare(self) -> bool:
         """Makes room for one descriptor where a connection is idle."""
-        return self._spare()
-
-    def _spare(self) -> bool:
         idle = [host.idle[0] for host in self._hosts.values() if host.idle]
         if not idle:
             return False
@@ -221,13 +222,13 @@
     def _open(self, line: Line) -> Ending | None:
         for attempt in (1, 2):
             result = stream.connect(
-                self._scheduler, line.host.address, MOST_OUT, self._connect_timeout, line_opened(line)
+                self._scheduler, line.host.address, MOST_OUT, self._connect_timeout, line.opening
             )
             if not isinstance(result, Ending):
                 self._stats.opened += 1
                 line.begin()
                 return None
-            if result is not Ending.NO_DESCRIPTOR or attempt == 2 or not self._spare():
+            if result is not Ending.NO_DESCRIPTOR or attempt == 2 or not self.spare():
                 return result
             line.stream = None
         return None
@@ -279,12 +280,3 @@
         for host in self._hosts.values():
             while host.idle and now - host.idle[0].idle_since >= self._rest:
                 self.end(host.idle[0], Ending.IDLE)
-
-
-def line_opened(line: Line) -> Callable[[stream.Stream], None]:
-    """A connection that is still opening can be given up too: its line must know the stream."""
-
-    def keep(driver: stream.Stream) -> None:
-        line.stream = driver
-
-    return keep
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -12,7 +12,7 @@
 from hazelhollow.config import Config
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
-from hazelhollow.net.acquirer import Acquirer
+from hazelhollow.net.acquirer import MEMORY_SHARE, Acquirer
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Limiter
 from hazelhollow.net.peers import Peers
@@ -46,8 +46,9 @@
             self.limiter.peers = Peers(
                 scheduler, self.stats, config.peer_listen, config.peers, self.limiter.heard
             )
+        held = int(config.memory_mb * 2**20 * MEMORY_SHARE)
         self.acquirer = Acquirer(
-            scheduler, self.stats, self.limiter, config.listen, room * 3 // 5, self.issuers.spare
+            scheduler, self.stats, self.limiter, config.listen, room * 3 // 5, held, self.issuers.spare
         )
         self.leaving = False
 
--- a/hazelhollow/wire.py
+++ b/hazelhollow/wire.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Mapping
 from typing import Any
 
+import orjson
+
 from hazelhollow import interface as api
 
 _EFFECTS = {"pure": "safe", "token": "keyed", "side_effect": "unsafe"}
@@ -110,7 +111,7 @@
 def parse_line(line: str) -> tuple[str, Fields]:
     """The name and the fields of one message."""
     try:
-        value = json.loads(line)
+        value = orjson.loads(line)
     except ValueError:
         raise WireError(f"line is not JSON: {line.strip()[:60]}") from None
     if not isinstance(value, dict) or len(value) != 1:
@@ -272,4 +273,4 @@
 
 
 def _line(name: str, fields: dict[str, Any]) -> str:
-    return json.dumps({name: fields}, separators=(",", ":")) + "\n"
+    return orjson.dumps({name: fields}).decode() + "\n"
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -135,7 +135,7 @@
 @pytest.mark.parametrize(
     "change, word",
     [({"listen": "nowhere"}, "nowhere"), ({"settings": {}}, "position"), ({"seed": "xyz"}, "xyz"),
-     ({"peers": [1]}, "peers"), ({"limits": {"sockets": "many"}}, "sockets"), (None, "No such file")],
+     ({"peers": [1]}, "peers"), ({"known": {"index": 1}}, "routing table"), ({"limits": {"sockets": "many"}}, "sockets"), (None, "No such file")],
 )  # fmt: skip
 def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, change: object, word: str) -> None:
     path = tmp_path / "config.json"
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -321,6 +321,16 @@
     assert stage.service.stats.requests == MOST_PIPELINED + 20
 
 
+def test_of_clients_that_hold_too_much_together_the_largest_goes(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage = Stage(hosts=1, memory_mb=1)  # a quarter of it for clients
+    monkeypatch.setattr(stage.service.limiter._decisions, "handle", lambda event, now: [])
+    for number in range(9):
+        stage.play(f"c{number} send {DO.format(number).replace('BODY', 'B' * 8000 * number)}")
+    assert len(stage.service.acquirer.sessions) == 9
+    stage.play("wait 0.6\nc8 expect closed\nc0 expect nothing\nc5 expect nothing")
+    assert stage.service.stats.relieved == stage.service.stats.clients_gone == 1
+
+
 def test_a_large_body_and_value_pass_through_in_parts() -> None:
     stage, body = Stage(hosts=1), "B" * 65536
     stage.play(f"a send {DO.format(1).replace('BODY', body)}\ns1 expect {DO.format(1).replace('BODY', body)}")
