A leg given up before its last byte was written never ran, whatever ended it

PROTOCOL: a host begins a command once its last byte has arrived, and unsent bytes of a closed connection are dropped. The ending map said timeout for such a leg, which barred a keyed request from being declined.

--- a/hazelhollow/net/ending.py
+++ b/hazelhollow/net/ending.py
@@ -25,25 +25,16 @@
     BROKEN_HERE = auto()  # an error in our own code
 
 
-# Each ending, by whether the last byte of the leg's request had been written. Up to then no issuer host can
-# have begun it; from then on it may have run, whatever ended the connection.
-_OUTCOMES: dict[Ending, tuple[Status, Status]] = {
-    Ending.REFUSED: ("connect_failed", "reset"),
-    Ending.NEVER_UP: ("connect_failed", "reset"),
-    Ending.NO_DESCRIPTOR: ("connect_failed", "reset"),
-    Ending.CLOSED: ("connect_failed", "reset"),
-    Ending.RESET: ("connect_failed", "reset"),
-    Ending.MALFORMED: ("connect_failed", "reset"),
-    Ending.TIMED_OUT: ("timeout", "timeout"),
-    Ending.CANCELLED: ("cancelled", "cancelled"),
-    Ending.STALLED: ("connect_failed", "reset"),
-    Ending.UNLISTED: ("connect_failed", "reset"),
-    Ending.IDLE: ("connect_failed", "reset"),
-    Ending.SHUTDOWN: ("connect_failed", "reset"),
-    Ending.BROKEN_HERE: ("connect_failed", "reset"),
-}
+_MAY_HAVE_RUN: dict[Ending, Status] = {Ending.TIMED_OUT: "timeout", Ending.CANCELLED: "cancelled"}
 
 
 def outcome(ending: Ending, written: bool) -> Status:
-    """The module's word for a leg whose connection ended so."""
-    return _OUTCOMES[ending][written]
+    """The module's word for a leg whose connection ended so.
+
+    It turns on whether the last byte of the leg's request had been written. Up to then no issuer host can have
+    begun it, even where the wait ran out, and unsent bytes are dropped; from then on it may have run, whatever
+    ended the connection.
+    """
+    if written:
+        return _MAY_HAVE_RUN.get(ending, "reset")
+    return "cancelled" if ending is Ending.CANCELLED else "connect_failed"
--- a/hazelhollow/net/scheduler.py
+++ b/hazelhollow/net/scheduler.py
@@ -158,13 +158,11 @@
             timer = heapq.heappop(self._timers)[2]
             if timer.call:
                 self._contain("timer", timer.call, timer.args)
-        self._run_ready()
-        while self._later:
-            calls, self._later = self._later, []
-            for call in calls:
-                self._contain("end of turn", call, ())
-            self._run_ready()
+        self._run()
         self._collect(longest)
+        self._run()
+
+    def _run(self) -> None:
         self._run_ready()
         while self._later:
             calls, self._later = self._later, []
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -99,6 +99,7 @@
 def test_every_ending_has_its_outcome_and_none_after_the_last_byte_says_never_ran() -> None:
     never = {"connect_failed", "full", "moot"}
     assert all(outcome(ending, written=True) not in never for ending in Ending)
+    assert all(outcome(e, written=False) == "connect_failed" for e in Ending if e is not Ending.CANCELLED)
     assert outcome(Ending.CLOSED, written=False) == "connect_failed" and outcome(Ending.CLOSED, True) == "reset"
 
 
