Errors no longer end the watch, the peers' task, the accept loop or the module's timer

Lasting tasks now begin anew, such a timer comes again after a second, and an unreadable entry hides no other.

--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -15,6 +15,8 @@
 from hazelhollow.net.peers import Peers
 from hazelhollow.net.stats import Stats
 
+TIMER_AGAIN = 1.0  # seconds until a timer at which the module failed comes again
+
 log = logging.getLogger(__name__)
 
 
@@ -155,6 +157,8 @@
             log.exception("the module failed at %s", type(event).__name__)
             self._stats.errors += 1
             actions, broken = [], True
+            if isinstance(event, api.Timer):  # what it would have set again must not stop for good
+                self._scheduler.at(now + TIMER_AGAIN, self._timer, event.name)
         for action in actions:
             self._perform(action, now)
         if one:
--- a/hazelhollow/net/routing.py
+++ b/hazelhollow/net/routing.py
@@ -39,12 +39,25 @@
         self.addresses: dict[str, tuple[str, int]] = {}
 
     def apply(self, document: Any, cached: bool = False) -> api.Servers:
-        """Takes in a list or the changes to it; gives the module's event. All is read before any is applied."""
+        """Takes in a list or the changes to it; gives the module's event. All is read before any is applied.
+
+        An entry that cannot be read is left out: asked again, discovery would only say the same, and one odd
+        entry must not hide all the others.
+        """
         try:
-            version, whole = int(document["index"]), bool(document["snapshot"])
-            read = [(_entry(e), parse_address(e["address"])) for e in document["endpoints"]]
+            version, whole, entries = (
+                int(document["index"]),
+                bool(document["snapshot"]),
+                list(document["endpoints"]),
+            )
         except (KeyError, TypeError, ValueError) as error:
             raise TableError(f"not a routing table: {error!r}") from None
+        read = []
+        for e in entries:
+            try:
+                read.append((_entry(e), parse_address(e["address"])))
+            except (AttributeError, KeyError, TypeError, ValueError) as error:
+                log.warning("discovery: an unreadable entry: %r", error)
         self.version = version
         if whole:
             self.entries, self.addresses = {}, {}
--- a/hazelhollow/net/scheduler.py
+++ b/hazelhollow/net/scheduler.py
@@ -16,6 +16,7 @@
 TROUBLE = select.POLLERR | select.POLLHUP | select.POLLNVAL
 TIMEOUT, WOKEN = 0, -1  # what `wait` gives beside poll's bits
 LONGEST = 1.0  # seconds in poll at most
+RESTART = 0.1  # seconds before a lasting task that failed begins anew
 
 log = logging.getLogger(__name__)
 
@@ -90,6 +91,15 @@
         self.wake(task)
         return task
 
+    def spawn_lasting(self, run: Callable[[], object], name: str) -> Task:
+        """A task without which the limiter is of no use: after an error it begins anew."""
+        return self.spawn(self._last, run, name, name=name)
+
+    def _last(self, run: Callable[[], object], name: str) -> None:
+        while True:
+            self._contain(name, run, ())
+            self.sleep(RESTART)
+
     def current(self) -> Task:
         assert self._current is not None
         return self._current
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -53,10 +53,10 @@
         self.leaving = False
 
     def start(self) -> None:
-        self.scheduler.spawn(self.watch.run, name="watch")
+        self.scheduler.spawn_lasting(self.watch.run, "watch")
         if self.limiter.peers:
-            self.scheduler.spawn(self.limiter.peers.run, name="peers")
-        self.scheduler.spawn(self.acquirer.run, name="acquirer")
+            self.scheduler.spawn_lasting(self.limiter.peers.run, "peers")
+        self.scheduler.spawn_lasting(self.acquirer.run, "acquirer")
         self.scheduler.at(self.scheduler.clock() + READY_WITHIN, self.acquirer.ready)
 
     def _changed(self, event: api.Servers) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -253,6 +253,32 @@
     assert stage.service.stats.errors == 1 and seen == sorted(seen)
 
 
+def test_a_timer_at_which_the_module_fails_comes_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage, timers = Stage(hosts=1), []
+
+    def handle(event: api.Event, now: float) -> list[api.Action]:
+        timers.append(event)
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(stage.service.limiter._decisions, "handle", handle)
+    stage.play("wait 3.5")
+    assert len(timers) >= 3 and all(isinstance(event, api.Timer) for event in timers)
+
+
+def test_an_odd_entry_hides_no_other_and_an_error_does_not_end_the_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage = Stage(hosts=1)
+    table = stage.table("whole", 3, "s1:in_service")
+    table["endpoints"] += ["odd", {"name": "s9", "address": "nowhere", "status": "in_service"}, {"status": "new"}]
+    event = stage.service.table.apply(table)
+    assert [entry.server for entry in event.entries] == ["s1"] == list(stage.service.table.addresses)
+    monkeypatch.setattr(stage.service.table, "apply", lambda document: 1 / 0)
+    stage.play(f"""
+        disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
+        {READY}
+        wait 0.3
+        disco.2 expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n""")
+
+
 def test_a_request_that_the_module_forgets_is_answered_at_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
     stage = Stage(hosts=1)
     monkeypatch.setattr(stage.service.limiter._decisions, "handle", lambda event, now: [])
