--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 
 import pytest
@@ -165,6 +166,16 @@
         s1 expect {ask(1)}
         s1 send {VALUE}
         b expect $2\\r\\nhi""",
+    "an id that comes twice is two requests": f"""
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        b send {ask(1)}
+        s1.2 expect {ask(1)}
+        s1.2 send {VALUE}
+        b expect $2\\r\\nhi
+        a expect nothing
+        s1.1 send {VALUE}
+        a expect $2\\r\\nhi""",
     "a bad request is an error, and the connection goes on": """
         a send [Q.ASK x r1 c=look,d=soon]
         a expect -ERR unreadable request
@@ -320,6 +331,28 @@
     assert len(stage.service.acquirer.sessions) <= 9
 
 
+def no_descriptor(*_: object, **__: object) -> socket.socket:
+    raise OSError(errno.EMFILE, "none left")
+
+
+def test_a_leg_for_which_no_descriptor_is_left_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage = Stage(hosts=1)
+    stage.play("a send [CLIENT]\na expect +OK")
+    monkeypatch.setattr("socket.socket", no_descriptor)
+    stage.play(f"a send {DO.format(1)}\na expect -BUSY 250")
+    assert set(stage.service.stats.outcomes) == {"connect_failed"}
+
+
+def test_accepting_without_a_descriptor_costs_an_idle_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage = Stage(hosts=1)
+    stage.play("a send [CLIENT]\na expect +OK")
+    stage._end("b")
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, "accept", no_descriptor)
+        stage.settle()
+    stage.play("a expect closed\nwait 0.1\nb send [CLIENT]\nb expect +OK")
+
+
 def test_a_client_that_takes_nothing_is_given_up_and_holds_no_more_than_its_ring() -> None:
     stage = Stage(hosts=1)
     stage._end("a").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
