--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -18,6 +18,7 @@
 MOST_OUT = 4 * resp.MOST_BYTES  # answers that a client has not taken
 STALL = 10.0  # seconds without a byte taken, after which a client is given up
 BACKLOG = 1024
+MOST_UNITS = 1e6  # of one request
 ACCEPT_PAUSE = 0.05  # when no descriptor is left
 MEMORY_SHARE = 0.25  # of the limit: what all clients together may make this limiter hold
 RELIEF = 0.5  # seconds between looks at it
@@ -54,6 +55,8 @@
             )
         except (KeyError, ValueError):
             raise BadCommand("unreadable request") from None
+        if not self.request.units <= MOST_UNITS:  # `nan` too: one would spoil its customer's budget for good
+            raise BadCommand("units out of range")
         start = 0 if text.startswith("d=") else text.index(",d=") + 1
         end = text.find(",", start)
         self._words, self.size = words, sum(map(len, words))
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -179,6 +179,8 @@
     "a bad request is an error, and the connection goes on": """
         a send [Q.ASK x r1 c=look,d=soon]
         a expect -ERR unreadable request
+        a send [Q.ASK 00000000b4d65521 r1 c=look,t=basic,d=900,units=nan,spread=2,first=0]
+        a expect -ERR units out of range
         a send [Q.ASK x]
         a expect -ERR wrong number of arguments
         a send [FLUSHALL]
