--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -26,13 +26,13 @@
     help="What goes to standard error.",
 )
 def serve(log_level: str) -> None:
-    """Serve until SIGTERM, as the RELAY_ variables say. SIGUSR1 prints the counters."""
+    """Serve until SIGTERM, as the RELAY_ variables say. SIGHUP reads RELAY_CONFIG again, SIGUSR1 prints counters."""
     logging.basicConfig(
         level=log_level.upper(), stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
     told = _load()
     try:
-        service.serve(told)
+        service.serve(told, lambda: config.load(os.environ, again=True))
     except OSError as error:
         _fail(f"cannot listen: {error.strerror or error}")
 
--- a/hazelhollow/config.py
+++ b/hazelhollow/config.py
@@ -37,8 +37,11 @@
     max_open: int = 20_000
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """The file, with the variables before what it says of the same."""
+def load(environment: Mapping[str, str], again: bool = False) -> Config:
+    """The file, with the variables before what it says of the same.
+
+    Read `again` by a running limiter, the file is newer than the variables: where discovery is now, it says alone.
+    """
     path = environment.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
@@ -50,7 +53,7 @@
         raise ConfigError(f"{path}: {error}") from None
     if not isinstance(document, dict):
         raise ConfigError(f"{path}: not a JSON object")
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen") if again else ("name", "listen", "discovery"):
         if f"RELAY_{key.upper()}" in environment:
             document[key] = environment[f"RELAY_{key.upper()}"]
     try:
--- a/hazelhollow/net/ending.py
+++ b/hazelhollow/net/ending.py
@@ -21,6 +21,7 @@
     STALLED = auto()  # the other side does not take what we send
     UNLISTED = auto()  # the routing table says that the issuer host drains or is gone
     IDLE = auto()  # not needed, for too long
+    MOVED = auto()  # the configuration names another address now
     SHUTDOWN = auto()  # this limiter is ending
     BROKEN_HERE = auto()  # an error in our own code
 
--- a/hazelhollow/net/routing.py
+++ b/hazelhollow/net/routing.py
@@ -97,17 +97,29 @@
     ) -> None:
         self._scheduler, self._stats, self._address = scheduler, stats, address
         self._table, self._changed = table, changed
-        self.heard = False  # whether discovery has answered in this life
+        self.heard = False  # whether discovery, at the address it has now, has answered in this life
+        self._driver: stream.Stream | None = None
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere from now on, at once and not when the call that is out ends.
+
+        The new one's versions need not be the old one's, so it is asked for the whole list first.
+        """
+        if address != self._address:
+            self._address, self.heard = address, False
+            if self._driver:
+                self._driver.close(Ending.MOVED)
 
     def run(self) -> None:
         while True:
             ending = self._connection()
             self._stats.watches_lost += 1
             log.info("discovery: %s", ending.name.lower())
-            self._scheduler.sleep(PAUSE)
+            if ending is not Ending.MOVED:
+                self._scheduler.sleep(PAUSE)
 
     def _connection(self) -> Ending:
-        driver = stream.connect(self._scheduler, self._address, http1.MOST_HEAD, CONNECT)
+        driver = stream.connect(self._scheduler, self._address, http1.MOST_HEAD, CONNECT, self._hold)
         if isinstance(driver, Ending):
             return driver
         parser, ending = http1.Parser(), Ending.BROKEN_HERE
@@ -120,6 +132,9 @@
             driver.close(ending)
         return ending
 
+    def _hold(self, driver: stream.Stream) -> None:
+        self._driver = driver
+
     def _calls(self, driver: stream.Stream, parser: http1.Parser) -> Ending:
         host = f"{self._address[0]}:{self._address[1]}"
         while True:
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -7,9 +7,10 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 
 from hazelhollow import interface as api
-from hazelhollow.config import Config
+from hazelhollow.config import Config, ConfigError
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.acquirer import MEMORY_SHARE, Acquirer
@@ -66,6 +67,16 @@
         self.issuers.update(self.table.open_addresses())
         self.acquirer.ready()
 
+    def reload(self, reread: Callable[[], Config]) -> None:
+        """Takes the addresses of the new file; clients, legs and budgets stay. A bad file changes nothing."""
+        try:
+            config = reread()
+        except ConfigError as error:
+            log.error("the configuration stays as it was: %s", error)
+            return
+        log.info("reloaded: discovery at %s:%d", *config.discovery)
+        self.watch.move(config.discovery)
+
     def leave(self) -> None:
         """Serves on for a while, answers all that was taken, then ends the loop."""
         if not self.leaving:
@@ -86,17 +97,17 @@
         self.scheduler.stop()
 
 
-def serve(config: Config) -> None:
-    """Until SIGTERM or SIGINT. SIGUSR1 prints the counters."""
+def serve(config: Config, reread: Callable[[], Config]) -> None:
+    """Until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 prints the counters."""
     scheduler = sch.Scheduler(sch.Clock())
     service = Service(config, scheduler)
     inner, outer = socket.socketpair()
     for end in (inner, outer):
         end.setblocking(False)
     signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
         signal.signal(number, lambda *_: None)  # the number comes through the socket pair
-    scheduler.spawn(_signals, service, inner, name="signals")
+    scheduler.spawn_lasting(lambda: _signals(service, inner, reread), name="signals")
     service.start()
     log.info("%s listens at %s:%d", config.name, *service.acquirer.address)
     gc.collect()
@@ -106,11 +117,13 @@
     print(service.stats.text(), file=sys.stderr, flush=True)
 
 
-def _signals(service: Service, source: socket.socket) -> None:
+def _signals(service: Service, source: socket.socket, reread: Callable[[], Config]) -> None:
     while True:
         service.scheduler.wait(source.fileno(), sch.READ)
         for number in source.recv(64):
             if number == signal.SIGUSR1:
                 print(service.stats.text(), file=sys.stderr, flush=True)
+            elif number == signal.SIGHUP:
+                service.reload(reread)
             else:
                 service.leave()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,6 +8,7 @@
     a expect nothing        so far; `a expect closed`: the connection is over
     s1 close                its end of the connection; `s1 stop` does not answer new ones from then on
     disco send table 7 s1:terminating    discovery's answer to a watch; `whole 7 ...`: the whole list
+    disco2 reload           the new configuration names this one as discovery
     p1 send TEXT            a datagram from the limiter numbered 1
     wait 0.5                the clock, which nothing else moves, goes on by half a second
 
@@ -19,6 +20,7 @@
 import re
 import select
 import socket
+from dataclasses import replace
 from typing import Any
 
 from hazelhollow import interface as api
@@ -41,7 +43,9 @@
     def __init__(self, hosts: int = 2, **changes: Any) -> None:
         self.now = START
         self.scheduler = Scheduler(lambda: self.now)
-        self.listeners = {f"s{n}": self._listener() for n in range(1, hosts + 1)} | {"disco": self._listener()}
+        self.listeners = {f"s{n}": self._listener() for n in range(1, hosts + 1)} | {
+            name: self._listener() for name in ("disco", "disco2")
+        }
         self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.peer.bind(("127.0.0.1", 0))
         self.ends: dict[str, list[socket.socket]] = {}
@@ -52,7 +56,8 @@
             "discovery": self.listeners["disco"].getsockname(), "peer_listen": ("127.0.0.1", 0),
             "peers": (("127.0.0.1", 9), self.peer.getsockname()), **changes,
         }  # fmt: skip
-        self.service = Service(Config(**values), self.scheduler)
+        self.config = Config(**values)
+        self.service = Service(self.config, self.scheduler)
         self.service.start()
         self.settle()
 
@@ -154,6 +159,10 @@
         else:
             assert not over and re.fullmatch(pattern, got, re.S), got or "nothing came"
 
+    def _reload(self, who: str, words: str) -> None:
+        self.service.reload(lambda: replace(self.config, discovery=self.listeners[who].getsockname()))
+        self.settle()
+
     def _close(self, who: str, words: str) -> None:
         end = self._end(who)
         self.ends[who.partition(".")[0]].remove(end)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -153,6 +153,9 @@
     told = config.load({"RELAY_CONFIG": str(path), "RELAY_LISTEN": "127.0.0.9:7"})
     assert (told.listen, told.seed, told.conn_idle, told.sockets) == (("127.0.0.9", 7), 255, 12.0, 99)
     assert told.peers == (("127.0.0.1", 3),) and told.settings.gateways == 1
+    variables = {"RELAY_CONFIG": str(path), "RELAY_DISCOVERY": "127.0.0.1:9"}
+    assert config.load(variables).discovery == ("127.0.0.1", 9)
+    assert config.load(variables, again=True).discovery == ("127.0.0.1", 2)  # the file is the newer of the two
 
 
 def test_the_program_serves_until_sigterm_and_prints_its_counters(tmp_path: Path) -> None:
@@ -166,9 +169,15 @@
             client.sendall(resp.command([b"PING"]))
             assert client.recv(99) == b"+PONG\r\n"  # though no discovery answers
             program.send_signal(signal.SIGUSR1)
+            program.send_signal(signal.SIGHUP)
+            assert any("discovery at 127.0.0.1:2" in line for line in program.stderr)
+            path.write_text("{")
+            program.send_signal(signal.SIGHUP)
+            assert any("stays as it was" in line for line in program.stderr)
+            program.send_signal(signal.SIGUSR1)
             program.send_signal(signal.SIGTERM)
             client.sendall(resp.command([b"SELECT", b"0"]))
             assert client.recv(99) == b"+OK\r\n"
             assert client.recv(99) == b""
         assert program.wait(30) == 0
-        assert program.stderr.read().count('"accepted":1') == 2
+        assert program.stderr.read().count('"accepted":1') == 2  # at the second SIGUSR1 and at the end
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hazelhollow import interface as api
+from hazelhollow.config import Config, ConfigError
 from hazelhollow.net import resp
 from hazelhollow.net.acquirer import MOST_OUT, MOST_PIPELINED
 from hazelhollow.net.scheduler import Poller
@@ -16,6 +17,8 @@
 ASK = "[Q.ASK 00000000b4d65521 r{0} c=look,t=basic,d=1000,units=1,spread=2,first=0]"
 DO = "[Q.DO 00000000b4d65521 r{0} c=buy,t=basic,d=1000,k=5c0f,units=1,spread=2,first=0 BODY]"
 VALUE = r"*3\r\n$2\r\nhi\r\n$-1\r\n$27\r\ninflight=7,queue=2,util=0.6"
+GET = r"GET /discovery/hosts HTTP/1.1\r\n**\r\n"
+WATCH = r"GET /discovery/hosts?from={0}&hold_ms=5000 HTTP/1.1\r\n**\r\n"
 READY = "disco send whole 1 s1:in_service"
 
 
@@ -187,6 +190,23 @@
         a expect -ERR unknown command
         a send [CLIENT SETNAME x]
         a expect +OK""",
+    "a reload moves the watch at once, asks for the whole list and keeps clients, legs and hosts": f"""
+        disco expect {GET}
+        {READY}
+        disco expect {WATCH.format(1)}
+        a send {ask(1)}
+        s1 expect {ask(1)}
+        disco2 reload
+        disco.1 expect closed
+        disco2 expect {GET}
+        disco2 send whole 1 s1:in_service
+        disco2 expect {WATCH.format(1)}
+        s1.1 send {VALUE}
+        a expect $2\\r\\nhi
+        a send {ask(2)}
+        s1.1 expect {ask(2)}
+        disco2 reload
+        disco2 expect nothing""",
     "junk from peers changes nothing": f"""
         p1 send \x00\x01
         p1 send {"h" * 300}
@@ -322,6 +342,16 @@
     assert stage.scheduler._stopped
 
 
+def test_a_new_configuration_that_cannot_be_read_changes_nothing() -> None:
+    def unreadable() -> Config:
+        raise ConfigError("not a JSON object")
+
+    stage = Stage(hosts=1)
+    stage.play(f"disco expect {GET}\n{READY}\ndisco expect {WATCH.format(1)}")
+    stage.service.reload(unreadable)
+    stage.play(f"disco expect nothing\na send {ask(1)}\ns1 expect {ask(1)}")
+
+
 def test_a_limiter_out_of_descriptors_gives_up_idle_connections_first() -> None:
     stage = Stage(hosts=2, sockets=0)  # leaves room for 6 to issuer hosts and 9 from clients
     for number in range(8):
