--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -191,6 +191,7 @@
         self.actions.append(api.SetTimer(self.flush_every, "beat"))
         if self.flushed < self.period:
             self.flushed, booked, self.booked = self.period, self.booked, {}
+            self.forget(SILENT * PERIOD)
             for key in booked:  # the final figure, for the carry-over; of a large set's quiet customers not
                 account = self.accounts.get(key)
                 if account and (account.spread <= DIRECT or account.telling):
@@ -200,8 +201,6 @@
         for peer in list(self.dirty):  # in a large fleet those that wait, longest first
             if self.messages.fill(self.now) >= 1.0:
                 self._tell(peer)
-        if self.random.random() < self.flush_every / (FLUSHES * PERIOD):
-            self.forget(SILENT * PERIOD)
         # In a sudden slowing the answers that would tell of it are late: what is out, not what hangs,
         # tells sooner. With all refused nothing tells: what is known of the wait grows old.
         out = self.out_since(self.now - self.tight)
@@ -296,6 +295,7 @@
                 account = self._account(word.customer, told.plans[word.plan], word.first, word.spread)
                 life, period = f"{event.sender}.{message.life}", self.period - behind - word.age
                 account.budget.level -= account.totals.hear(life, period, word.total)
+                account.used = self.now
                 self._news(word.customer, account)
         loads = {word.server: word.work for word in message.words if isinstance(word, gossip.Load)}
         self.loads.update({event.sender: (self.now, loads)} if self.small else {})
@@ -432,7 +432,7 @@
         if (slow or event.status != "ok") and event.status not in ("cancelled", "moot"):
             waited, name = True, "" if event.status in NEVER_RAN else kind.name
             self._failure(server, name)
-            if event.status != "full":  # a fleet that is short must not eject itself by hearsay
+            if event.status != "full" and not self.small:  # one that is short must not eject itself so
                 place = server.tag, [*self.classes, ""].index(name)
                 self.failed.pop(place, None)
                 self.failed[place] = self.now
--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -78,7 +78,9 @@
         self.open: Open | None = None
 
     def settle(self, answer: bytes) -> None:
-        self.answer, self.size = answer, len(answer)
+        # Without `open`: a record and its place would hold each other, and both hold the session and its rings,
+        # until the cycle collector came. Memory would grow by all that it had not found yet.
+        self.answer, self.size, self.open = answer, len(answer), None
         self.session.push()
 
     def served(self, value: bytes) -> None:
@@ -114,8 +116,9 @@
         self._acquirer.sessions.discard(self)
         slots, self._slots = self._slots, deque()
         for slot in slots:
-            if slot.answer is None and slot.open:
-                self._acquirer.limiter.gone(slot.open)
+            one, slot.open = slot.open, None
+            if one:
+                self._acquirer.limiter.gone(one)
 
     def resting(self) -> bool:
         """Between requests, so that it may be closed."""
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/issuer.py
@@ -63,7 +63,7 @@
 class Line:
     """One connection to an issuer host. It carries one leg at a time."""
 
-    __slots__ = ("host", "leg", "stream", "idle_since", "parser", "_mark")
+    __slots__ = ("host", "leg", "stream", "idle_since", "parser", "_mark", "__weakref__")
 
     def __init__(self, host: Host) -> None:
         self.host = host
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -46,7 +46,7 @@
 class Open:
     """A request that is owed its answer, or whose legs are still out."""
 
-    __slots__ = ("id", "ask", "caller", "deadline", "legs", "out", "answered", "timer")
+    __slots__ = ("id", "ask", "caller", "deadline", "legs", "out", "answered", "timer", "__weakref__")
 
     def __init__(self, key: str, ask: Ask, caller: Caller, deadline: float) -> None:
         self.id, self.ask, self.caller, self.deadline = key, ask, caller, deadline
@@ -70,7 +70,7 @@
     # The acquirer side
 
     def ask(self, ask: Ask, caller: Caller) -> Open | None:
-        """Takes a request; the record is to be given back to `gone` if its client leaves."""
+        """Takes a request. What is not answered at once gives a record, to be given to `gone` if its client leaves."""
         request = ask.request
         self._stats.requests += 1
         if len(self.open) >= self._most_open:
@@ -85,8 +85,9 @@
         one = Open(key, ask, caller, self._scheduler.clock() + request.patience)
         self.open[key] = one
         self._handle(request, one)
-        if not one.answered:  # most declines come at once and need no timer
-            one.timer = self._scheduler.at(one.deadline, self._expire, one)
+        if one.answered:  # most declines come at once and need no timer
+            return None
+        one.timer = self._scheduler.at(one.deadline, self._expire, one)
         return one
 
     def gone(self, one: Open) -> None:
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -147,7 +147,7 @@
     def close(self, ending: Ending) -> None:
         """Drops what was not written. Only the first ending counts."""
         if self.ending is None:
-            self.ending = ending
+            self.ending, self.on_broken = ending, None  # what it calls holds this stream in turn
             self.out.clear()
             self.scheduler.forget(self._fd)
             self._sock.close()
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -12,6 +12,8 @@
 class Store:
     """Units that come in evenly at a rate, up to the most it holds; it may go below nothing."""
 
+    __slots__ = ("rate", "most", "level", "at")
+
     def __init__(self, rate: float, most: float, level: float, now: float) -> None:
         self.rate, self.most, self.level, self.at = rate, most, level, now
 
@@ -24,6 +26,8 @@
 class Totals:
     """Charges by period, this one and the last: this gateway's own and those heard of others'."""
 
+    __slots__ = ("period", "charged", "heard")
+
     def __init__(self, period: int) -> None:
         self.period = period
         self.charged: dict[int, float] = {}
@@ -73,7 +77,12 @@
 
 
 class Account:
-    """One customer: its budget as this gateway knows it, and what its set was told of it last."""
+    """One customer: its budget as this gateway knows it, and what its set was told of it last.
+
+    There is one for each customer seen lately, and many come only once: small objects keep memory flat.
+    """
+
+    __slots__ = ("plan", "used", "open", "budget", "told", "telling", "ceiling", "totals", "first", "spread", "hubs")
 
     def __init__(self, plan: api.Plan, level: float, born: float, now: float) -> None:
         self.plan, self.used, self.open = plan, now, 0
@@ -185,7 +194,8 @@
         return [a for one in held for a in one.attempts if a.out and a.sent_at > start]
 
     def forget(self, least: float) -> None:
-        """Let go of accounts that would have filled up by now anyway."""
+        """Let go of accounts that would have filled up by now anyway. `used` counts charges heard of too: an
+        account that was let go of in between would take a total that is said again for a new one."""
         for key, a in list(self.accounts.items()):
             unused = self.now - a.used > least + a.plan.ceiling_burst / (a.plan.ceiling_rate or 1.0)
             if unused and not a.open and a.budget.fill(self.now) >= a.plan.burst:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -388,3 +388,28 @@
         make(**{str(name): value})  # type: ignore[arg-type]
 
 
+
+
+def test_customers_that_come_once_and_hosts_that_fail_leave_nothing_behind() -> None:
+    gateway, most = make(), 0
+    for second in range(1, 60):
+        gateway.handle(api.Timer("beat"), float(second))
+        for n in range(20):
+            (send,) = only(ask(gateway, second + 0.1, customer=f"{second}-{n}"), api.Send)
+            status: api.Status = "error" if n % 5 == 0 else "ok"
+            gateway.handle(api.Outcome(send.id, 0, send.server, status, 0.1, True), second + 0.2)
+        gateway.handle(servers("change", entry(f"s{second % 4}", started=float(second))), second + 0.5)
+        most = max(most, len(gateway.accounts))
+    assert most <= 20 * 5 and not gateway.held and not gateway.failed and len(gateway.servers) == 4
+
+
+def test_an_account_whose_charges_are_still_told_is_not_forgotten_in_between() -> None:
+    """A fresh account would take the total that is told again for a new charge."""
+    gateway, head, seen = make(), "h{}0x ", set()
+    charge = f"{base36(77)}:0:0:3:0:"
+    for tenth in range(10, 50):
+        gateway.handle(api.Timer("beat"), tenth / 10)
+        period = base36(tenth // 10)
+        gateway.handle(api.PeerMessage(1, head.format(period) + charge + base36(10)), tenth / 10 + 0.01)
+        seen.add(id(gateway.accounts[base36(77)]))
+    assert len(seen) == 1
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import errno
+import gc
 import socket
+import weakref
+from collections.abc import Callable
 
 import pytest
 
@@ -228,6 +231,23 @@
     assert stage.service.stats.served == 0 and list(stage.service.limiter.open) == ["r2"]
 
 
+def test_sessions_lines_and_requests_go_without_the_cycle_collector() -> None:
+    """Else memory grows by all that it has not found yet: a busy limiter seldom collects."""
+    stage = Stage(hosts=1)
+    gc.collect()
+    gc.disable()
+    try:
+        stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
+        (session,), (one,) = stage.service.acquirer.sessions, stage.service.limiter.open.values()
+        (line,) = stage.service.issuers._hosts["s1"].lines
+        ended: list[Callable[[], object]] = [weakref.ref(session), weakref.ref(one), weakref.ref(line)]
+        stage.play(f"s1 send {VALUE}\na expect $2\\r\\nhi\na send {ask(2, 0)}\na expect -BUSY\na close\ns1 close\nwait 17")
+        del session, one, line
+        assert [ref() for ref in ended] == [None, None, None]
+    finally:
+        gc.enable()
+
+
 def test_a_refused_connection_never_ran_and_another_host_is_tried() -> None:
     stage = Stage(hosts=2)
     stage.play(f"s1 stop\na send {DO.format(1)}\ns2 expect {DO.format(1)}\ns2 send {VALUE}\na expect $2\\r\\nhi")
