Bad clients get an error at once and bad answers cost no good one

One client asked the same 600 times over. At fault: acquirer.Ask read fields without bounds; Limiter.ask renamed a reused id and passed it on; Session._commands took a whole buffer in one turn and read 64 KiB at a time; _malformed closed above requests still owed; a parser's unfinished array could hold 64 strings of 64 KiB; push() missed its wake-up when several answers left a full pipeline; issuer._serve treated bytes behind a whole answer as a spoilt one; an answer that stopped half-way waited for the deadline; an integer that can't be read (a use figure) ended the connection; http1 took a 1xx for the answer. Change: Terms checks every field against the settings; a reused id is an error; 16 commands a turn, 100 declines or errors a second a connection; silent or half-said commands end within 2.25 s, idle connections after 10 s or, when half of the places are taken, 2.5 s, never with a request unread; the silent go first. A good answer is served and then its connection ends; a copy still on its way when the line is used again is not taken for the next answer.

--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import math
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -16,51 +18,92 @@
 
 MOST_PIPELINED = 64  # commands of one connection that are not answered yet; past it nothing more is read
 MOST_OUT = 4 * resp.MOST_BYTES  # answers that a client has not taken
+CHUNK = 16 * 1024  # read at a time
+BATCH = 16  # commands of one connection, and connections, that are taken before others get their turn
+TURNED_AWAY = 100.0  # declines and errors a second on one connection; a client that asks faster waits its turn
+TURNED_AWAY_AT_ONCE = 200.0
+MOST_BAD = 16  # bad commands in a row, after which the connection ends
 STALL = 10.0  # seconds without a byte taken, after which a client is given up
+WHOLE_WITHIN = 2.0  # seconds that a command may take to come, and a connection to bring its first
+END_WITHIN = 2.0  # seconds that a connection which sent what is no command may wait for answers it is owed
+REST, REST_CROWDED = 10.0, 2.5  # seconds that a connection may be idle; when half of the places are taken
 BACKLOG = 1024
-MOST_UNITS = 1e6  # of one request
 ACCEPT_PAUSE = 0.05  # when no descriptor is left
 MEMORY_SHARE = 0.25  # of the limit: what all clients together may make this limiter hold
-RELIEF = 0.5  # seconds between looks at it
+TIDY = 0.25  # seconds between looks at all connections
 
 log = logging.getLogger(__name__)
+_CUSTOMER = re.compile(rb"0{7}[01][0-9a-f]{8}")  # 16 hex digits, a number below 2**33
+_ID = re.compile(rb"[!-~]{1,64}")
+_WHOLE = re.compile(r"[0-9]{1,9}")
+_UNITS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class BadCommand(Exception):
     """A command that is answered with an error, and why."""
 
 
-class Ask:
-    """`Q.ASK` or `Q.DO`, read; it can be said again with another wait and nothing else changed."""
+class Terms:
+    """What the settings let a request say. Nothing else may reach the module or an issuer host: there a single
+    `nan`, or a wait of years, would spoil what is learned from all the others."""
 
-    __slots__ = ("request", "size", "_words", "_before", "_after")
+    def __init__(self, settings: api.Settings) -> None:
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name for p in settings.plans}
+        self.gateways, self.most_units = settings.gateways, settings.max_units
 
-    def __init__(self, words: list[bytes], late: float) -> None:
-        """`late`: how long ago it may have arrived."""
-        if not 4 <= len(words) <= 5:
+    def read(self, words: list[bytes], late: float) -> api.Request:
+        """`late`: how long ago the command may have arrived."""
+        if len(words) != (5 if words[0].upper() == b"Q.DO" else 4):
             raise BadCommand("wrong number of arguments")
+        if not _CUSTOMER.fullmatch(words[1]) or not _ID.fullmatch(words[2]):
+            raise BadCommand("no such customer, or no id")
         try:
-            text = words[3].decode("ascii")
-            fields = dict([item.split("=", 1) for item in text.split(",")])
-            self.request = api.Request(
-                id=words[2].decode("ascii"),
-                class_name=fields["c"],
-                plan_name=fields["t"],
-                customer=words[1].decode("ascii"),
-                units=float(fields.get("units", "1")),
-                patience=int(fields["d"]) / 1000.0 - late,
-                first_gateway=int(fields.get("first", "0")),
-                spread=int(fields.get("spread", "1")),
-                repeat=fields.get("r") == "1",
-            )
+            items = [item.split("=", 1) for item in words[3].decode("ascii").split(",")]
+            fields = dict(items)
+            kind, plan = self.classes.get(fields["c"]), fields["t"]
+            patience, spread, first = fields["d"], fields["spread"], fields["first"]
+            units = fields["units"]
         except (KeyError, ValueError):
             raise BadCommand("unreadable request") from None
-        if not self.request.units <= MOST_UNITS:  # `nan` too: one would spoil its customer's budget for good
+        if len(fields) != len(items):
+            raise BadCommand("a field comes twice")
+        if kind is None or plan not in self.plans:
+            raise BadCommand("no such class or plan")
+        if (kind.effect == "safe") != (len(words) == 4) or (kind.effect == "keyed" and not fields.get("k")):
+            raise BadCommand("not the command for this class")
+        if not _WHOLE.fullmatch(patience) or int(patience) > math.ceil(kind.deadline * 1000):
+            raise BadCommand("d out of range")
+        if not _UNITS.fullmatch(units) or not 0 < float(units) <= self.most_units:
             raise BadCommand("units out of range")
-        start = 0 if text.startswith("d=") else text.index(",d=") + 1
-        end = text.find(",", start)
-        self._words, self.size = words, sum(map(len, words))
-        self._before, self._after = words[3][: start + 2], words[3][end:] if end >= 0 else b""
+        if not (_WHOLE.fullmatch(spread) and _WHOLE.fullmatch(first)):
+            raise BadCommand("set out of range")
+        if not (0 < int(spread) <= self.gateways and int(first) < self.gateways):
+            raise BadCommand("set out of range")
+        return api.Request(
+            id=words[2].decode("ascii"),
+            class_name=kind.name,
+            plan_name=plan,
+            customer=words[1].decode("ascii"),
+            units=float(units),
+            patience=int(patience) / 1000.0 - late,
+            first_gateway=int(first),
+            spread=int(spread),
+            repeat=fields.get("r") == "1",
+        )
+
+
+class Ask:
+    """`Q.ASK` or `Q.DO`, read; it can be said again with another wait and nothing else changed."""
+
+    __slots__ = ("request", "size", "_words", "_before", "_after")
+
+    def __init__(self, words: list[bytes], request: api.Request) -> None:
+        self.request, self._words, self.size = request, words, sum(map(len, words))
+        text = words[3]
+        start = 0 if text.startswith(b"d=") else text.index(b",d=") + 1
+        end = text.find(b",", start)
+        self._before, self._after = text[: start + 2], text[end:] if end >= 0 else b""
 
     def command(self, wait_ms: int) -> bytes:
         words = self._words
@@ -87,21 +130,33 @@
         self.settle(resp.bulk(value))
 
     def declined(self, wait_ms: int) -> None:
+        self.session.turned_away()
         self.settle(b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n")
 
     def failed(self) -> None:
         self.settle(b"-ERR failed\r\n")
 
+    def refused(self, why: str) -> None:
+        """A command that is not of the protocol."""
+        self.session.turned_away()
+        self.settle(b"-ERR %b\r\n" % why.encode())
+
 
 class Session:
     """One connection of a client."""
 
     def __init__(self, acquirer: Acquirer, driver: stream.Stream) -> None:
+        now = acquirer.scheduler.clock()
         self._acquirer, self._driver = acquirer, driver
         self._parser = resp.Parser()
         self._slots: deque[Slot] = deque()
         self._progress = (0, 0.0)  # bytes taken by the client, and since when
-        self.idle_since = acquirer.scheduler.clock()
+        self._begun: float | None = now  # since when a command is awaited: the first, or one of which a part came
+        self._more = False  # there may be another whole command among what was read
+        self._bad = 0  # commands in a row
+        self._allowed, self._allowed_at = TURNED_AWAY_AT_ONCE, now  # to be turned away without having to wait
+        self._doomed: float | None = None  # since when only what is owed is still answered
+        self.idle_since = now
         self.finishing = False
 
     def run(self) -> None:
@@ -121,79 +176,128 @@
                 self._acquirer.limiter.gone(one)
 
     def resting(self) -> bool:
-        """Between requests, so that it may be closed."""
-        return not self._slots and not self._driver.out and self._parser.idle()
+        """Between requests, so that it may be closed: also none waits unread, which the client would have lost."""
+        return self._settled() and self._parser.idle() and self._driver.alive()
+
+    def _settled(self) -> bool:
+        return not self._slots and not self._driver.out
+
+    def idle(self) -> bool:
+        """Nothing is owed and nothing has come in part; `resting` says so with certainty, for a system call."""
+        return self._settled() and self._parser.idle()
+
+    def silent(self) -> bool:
+        """It has never sent a whole command."""
+        return self._begun is not None and self.idle()
 
     def held(self) -> int:
         """Bytes in memory on this client's account."""
-        return len(self._parser.ring) + len(self._driver.out) + sum([slot.size for slot in self._slots])
+        return self._parser.held() + len(self._driver.out) + sum([slot.size for slot in self._slots])
 
     def finish(self) -> None:
         """To be closed between requests, now or after the last answer."""
         self.finishing = True
         self._driver.wake()
 
+    def overdue(self, now: float, rest: float) -> Ending | None:
+        """Why it has to go, if it has: who is slow or says nothing must not keep others from a place."""
+        if self._doomed is not None:
+            return Ending.MALFORMED if now - self._doomed >= END_WITHIN else None
+        if self._driver.out:
+            if self._progress[0] != self._driver.written or not self._progress[1]:
+                self._progress = self._driver.written, now
+            if now - self._progress[1] >= STALL:
+                return Ending.STALLED
+        if self._begun is not None and now - self._begun >= WHOLE_WITHIN:
+            if self.silent():
+                return Ending.IDLE
+            self._malformed("a command that does not come to its end")
+            self._driver.wake()
+        elif now - self.idle_since >= rest and self.resting():
+            return Ending.IDLE
+        return None
+
+    def turned_away(self) -> None:
+        """Whoever asks again at once, however often, takes no more than its share of the processor."""
+        self._refill()
+        self._allowed -= 1.0
+
+    def _refill(self) -> None:
+        now = self._acquirer.scheduler.clock()
+        filled = self._allowed + TURNED_AWAY * (now - self._allowed_at)
+        self._allowed, self._allowed_at = min(TURNED_AWAY_AT_ONCE, filled), now
+
     def push(self) -> None:
         """Hands over the answers whose turn has come, as far as the ring has room for them."""
         slots, out = self._slots, self._driver.out
+        full = len(slots) >= MOST_PIPELINED
         while slots and slots[0].answer is not None:
             answer = slots[0].answer
             if len(answer) > out.room():
-                return
+                break
             slots.popleft()
             self._driver.write(answer)
         if not slots:
             self.idle_since = self._acquirer.scheduler.clock()
-        if self.finishing or len(slots) == MOST_PIPELINED - 1:
+        if self.finishing or self._doomed is not None or (full and len(slots) < MOST_PIPELINED):
             self._driver.wake()
 
     def _serve(self) -> Ending:
-        driver = self._driver
+        driver, clock = self._driver, self._acquirer.scheduler.clock
         while driver.ending is None:
-            if self.finishing:
+            if self._doomed is not None or self.finishing:
                 driver.flush()
-                if self.resting():
+                if self._doomed is not None and self._settled():
+                    return Ending.MALFORMED
+                if self.finishing and self.resting():
                     return Ending.SHUTDOWN
-            full = len(self._slots) >= MOST_PIPELINED or len(driver.out) > MOST_OUT // 2
-            bits = driver.wait(self._stalled_at(), 0 if full else sch.READ)
+            until, events = None, sch.READ
+            if self._doomed is not None or len(self._slots) >= MOST_PIPELINED or len(driver.out) > MOST_OUT // 2:
+                events = 0
+            elif self._allowed < 0.0:
+                until, events = self._allowed_at - self._allowed / TURNED_AWAY, 0
+            elif self._more:
+                until, events = clock(), 0  # the next turn: others come first
+            bits = driver.wait(until, events)
             self.push()
             if bits == sch.TIMEOUT:
-                return Ending.STALLED
-            if bits == sch.WOKEN or not bits & (sch.READ | sch.TROUBLE):
-                continue
-            data = driver.read(self._parser.ring.room())
-            if isinstance(data, Ending):
-                return data
-            if data:
-                try:
-                    self._parser.feed(data)
-                    self._commands()
-                except resp.ProtocolError as error:
-                    return self._malformed(str(error))
+                self._refill()
+                self._take(b"")
+            elif bits != sch.WOKEN and bits & (sch.READ | sch.TROUBLE):
+                data = driver.read(min(CHUNK, self._parser.ring.room()))
+                if isinstance(data, Ending):
+                    return data
+                if data and self._doomed is None:
+                    self._take(data)
         return driver.ending
 
-    def _stalled_at(self) -> float | None:
-        """When a client that takes nothing is given up."""
-        driver = self._driver
-        if not driver.out:
-            return None
-        if self._progress[0] != driver.written or not self._progress[1]:
-            self._progress = driver.written, self._acquirer.scheduler.clock()
-        return self._progress[1] + STALL
-
-    def _malformed(self, why: str) -> Ending:
-        """One plain error, behind the answers that are due already."""
+    def _take(self, data: bytes) -> None:
+        try:
+            if data:
+                self._parser.feed(data)
+            self._commands()
+        except resp.ProtocolError as error:
+            self._malformed(str(error))
+
+    def _malformed(self, why: str) -> None:
+        """One plain error, behind the answers that are due; nothing more is read."""
         self._acquirer.stats.malformed += 1
+        self._doomed = self._acquirer.scheduler.clock()
         slot = Slot(self)
         self._slots.append(slot)
-        slot.settle(b"-ERR protocol error: %b\r\n" % why.encode())
-        self._driver.flush()
-        return Ending.MALFORMED
+        slot.refused(f"protocol error: {why}")
 
     def _commands(self) -> None:
-        while True:
+        for _ in range(BATCH):
+            if len(self._slots) >= MOST_PIPELINED or self._allowed < 0.0:
+                break
             value = self._parser.next()
             if isinstance(value, resp.More):
+                self._more = False
+                if self._parser.idle():
+                    self._begun = None
+                elif self._begun is None:
+                    self._begun = self._acquirer.scheduler.clock()
                 return
             if not isinstance(value, list) or not value or not all(isinstance(w, bytes) for w in value):
                 raise resp.ProtocolError("a command is an array of strings")
@@ -201,16 +305,24 @@
             slot = Slot(self)
             self._slots.append(slot)
             self._acquirer.stats.commands += 1
+            self._begun = None
             self._command(words, slot)
+            if self._bad >= MOST_BAD:
+                raise resp.ProtocolError("too many bad commands")
+        self._more = True
 
     def _command(self, words: list[bytes], slot: Slot) -> None:
         verb, acquirer = words[0].upper(), self._acquirer
         if verb in (b"Q.ASK", b"Q.DO"):
             try:
-                ask = Ask(words, acquirer.scheduler.clock() - acquirer.scheduler.started_turn)
+                late = acquirer.scheduler.clock() - acquirer.scheduler.started_turn
+                ask = Ask(words, acquirer.terms.read(words, late))
             except BadCommand as error:
-                slot.settle(b"-ERR %b\r\n" % str(error).encode())
+                acquirer.stats.bad += 1
+                self._bad += 1
+                slot.refused(str(error))
                 return
+            self._bad = 0
             slot.size = ask.size
             slot.open = acquirer.limiter.ask(ask, slot)
         elif verb == b"PING":
@@ -220,7 +332,8 @@
         elif verb == b"INFO":
             slot.settle(resp.bulk(acquirer.stats.text().encode()))
         else:
-            slot.settle(b"-ERR unknown command\r\n")
+            self._bad += 1
+            slot.refused("unknown command")
 
 
 class Acquirer:
@@ -231,17 +344,18 @@
         scheduler: sch.Scheduler,
         stats: Stats,
         limiter: Limiter,
+        terms: Terms,
         listen: tuple[str, int],
         most_sessions: int,
         most_held: int,
         spare: Callable[[], bool],
     ) -> None:
-        self.scheduler, self.stats, self.limiter = scheduler, stats, limiter
+        self.scheduler, self.stats, self.limiter, self.terms = scheduler, stats, limiter, terms
         self.sessions: set[Session] = set()
         self._most, self._most_held, self._spare = most_sessions, most_held, spare
         self._ready = False
         self._waiting: list[Callable[[], None]] = []
-        scheduler.at(scheduler.clock() + RELIEF, self._relieve)
+        scheduler.at(scheduler.clock() + TIDY, self._tidy)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -265,11 +379,12 @@
     def run(self) -> None:
         while True:
             self.scheduler.wait(self._sock.fileno(), sch.READ)
-            while self._accept():
-                pass
+            for _ in range(BATCH):
+                if not self._accept():
+                    break
 
     def _accept(self) -> bool:
-        if len(self.sessions) >= self._most and not any(s.resting() for s in self.sessions):
+        if len(self.sessions) >= self._most and not any(s.idle() for s in self.sessions):
             self.scheduler.sleep(ACCEPT_PAUSE)
             return False
         try:
@@ -288,14 +403,23 @@
         return True
 
     def _close_idlest(self) -> bool:
-        resting = [s for s in self.sessions if s.resting()]
-        if resting:
-            min(resting, key=lambda s: s.idle_since).end(Ending.NO_DESCRIPTOR)
-        return bool(resting)
-
-    def _relieve(self) -> None:
-        """Many slow clients at once may hold more than there is, each within its own bound: the largest go."""
-        self.scheduler.at(self.scheduler.clock() + RELIEF, self._relieve)
+        """Those that have not said a word go first: a usual client speaks as soon as it is connected."""
+        idle = [(not s.silent(), s.idle_since, id(s), s) for s in self.sessions if s.idle()]
+        for *_, session in sorted(idle):
+            if session.resting():
+                session.end(Ending.NO_DESCRIPTOR)
+                return True
+        return False
+
+    def _tidy(self) -> None:
+        now = self.scheduler.clock()
+        self.scheduler.at(now + TIDY, self._tidy)
+        rest = REST_CROWDED if 2 * len(self.sessions) > self._most else REST
+        for session in list(self.sessions):
+            ending = session.overdue(now, rest)
+            if ending:
+                session.end(ending)
+        # Many slow clients at once may hold more than there is, each within its own bound: the largest go.
         held = {session: session.held() for session in self.sessions}
         total = sum(held.values())
         for session in sorted(held, key=held.__getitem__, reverse=True):
--- a/hazelhollow/net/http1.py
+++ b/hazelhollow/net/http1.py
@@ -44,8 +44,11 @@
             raise ProtocolError("too much at once") from None
 
     def next(self) -> Answer | None:
-        if not self._status and not self._head():
-            return None
+        while not self._status:
+            if not self._head():
+                return None
+            if 100 <= self._status < 200:  # news of the answer, which is still to come
+                self._restart()
         if not (self._chunks() if self._chunked else self._plain()):
             return None
         answer = Answer(self._status, bytes(self._body), self._keep)
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/issuer.py
@@ -14,7 +14,9 @@
 
 MOST_OUT = resp.MOST_BYTES + 8 * 1024  # one command
 IDLE_SHARE = 0.5  # of the time after which the host may close an idle connection: past it none is reused
-SWEEP = 1.0  # seconds between looks for idle connections
+SWEEP = 0.25  # seconds between looks for idle connections and for answers that stop half-way
+HALFWAY = 0.5  # seconds without a byte in the middle of an answer, after which no more is expected
+SETTLE = 0.002  # seconds in which what was sent right behind an answer may still be on its way
 
 log = logging.getLogger(__name__)
 
@@ -63,7 +65,7 @@
 class Line:
     """One connection to an issuer host. It carries one leg at a time."""
 
-    __slots__ = ("host", "leg", "stream", "idle_since", "parser", "_mark", "__weakref__")
+    __slots__ = ("host", "leg", "stream", "idle_since", "parser", "partial_since", "settled_at", "_mark", "__weakref__")
 
     def __init__(self, host: Host) -> None:
         self.host = host
@@ -71,6 +73,8 @@
         self.stream: stream.Stream | None = None
         self.parser = resp.Parser()
         self.idle_since = 0.0
+        self.partial_since = 0.0  # when the latest bytes of an answer that is not whole came
+        self.settled_at = 0.0  # when what came right behind the last value must have shown
         self._mark = 0  # bytes written before this leg's
 
     def opening(self, driver: stream.Stream) -> None:
@@ -90,6 +94,10 @@
         """Whether all of it has, so that the host may have begun it."""
         return self.leg is not None and self.touched() and self._left() <= 0
 
+    def hasty(self, now: float) -> bool:
+        """Whether this may be a second copy of the last answer that was on its way when the line was used again."""
+        return self.leg is not None and self.leg.started < self.settled_at and now - self.leg.started < SETTLE
+
     def _left(self) -> int:
         assert self.stream and self.leg
         return self._mark + len(self.leg.command) - self.stream.written
@@ -252,18 +260,25 @@
                 line.parser.feed(data)
                 answer = line.parser.next()
             except resp.ProtocolError as error:
-                log.warning("%s: %s", line.host.name, error)
+                log.info("%s: a spoilt answer: %s", line.host.name, error)
                 return Ending.MALFORMED
             if isinstance(answer, resp.More):
+                line.partial_since = self._scheduler.clock()
                 continue
             result = read_answer(answer)
-            # Nobody asked, the answer is none, or it came before the request was out: what this connection
-            # says next could be taken for another request's answer.
-            if result is None or not line.whole() or not line.parser.idle():
+            # Nobody asked, the answer is none, or it came before the request was out or could have been worked
+            # on: what this connection says next could be taken for another request's answer.
+            if result is None or not line.whole() or line.hasty(self._scheduler.clock()):
                 return Ending.MALFORMED
-            leg, line.leg = line.leg, None
-            self._rest_line(line)
+            leg, line.leg, line.partial_since = line.leg, None, 0.0
             assert leg
+            line.settled_at = self._scheduler.clock() + SETTLE if result.status == "ok" else 0.0
+            if line.parser.idle():
+                self._rest_line(line)
+            else:
+                # The answer is whole and this leg's own. What lies behind it is nobody's: it must reach no other
+                # leg, and no more of it is read.
+                self.end(line, Ending.MALFORMED)
             leg.finish(result)
         return driver.ending
 
@@ -280,3 +295,6 @@
         for host in self._hosts.values():
             while host.idle and now - host.idle[0].idle_since >= self._rest:
                 self.end(host.idle[0], Ending.IDLE)
+            for line in [x for x in host.lines if x.partial_since and now - x.partial_since >= HALFWAY]:
+                # The host had done the work and was sending: the leg can wait for the deadline in vain only.
+                self.end(line, Ending.STALLED)
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -77,13 +77,14 @@
             self._stats.declined += 1
             caller.declined(0)
             return None
-        key, again = request.id, 1
-        while key in self.open:  # a client that sends an id twice must not make the module mix up the two
-            key, again = f"{request.id}#{again}", again + 1
-        if key != request.id:
-            request = api.Request(**{**vars(request), "id": key})
-        one = Open(key, ask, caller, self._scheduler.clock() + request.patience)
-        self.open[key] = one
+        if request.id in self.open:
+            # Every request has an id of its own, a retry too: this one is somebody else's. The one who came first
+            # gets the answer, and what the host would say to a second of that name is nobody's.
+            self._stats.failed += 1
+            caller.failed()
+            return None
+        one = Open(request.id, ask, caller, self._scheduler.clock() + request.patience)
+        self.open[request.id] = one
         self._handle(request, one)
         if one.answered:  # most declines come at once and need no timer
             return None
--- a/hazelhollow/net/resp.py
+++ b/hazelhollow/net/resp.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final, Union
 
 from hazelhollow.net.ring import Ring, RingFull
 
 MOST_BYTES = 64 * 1024  # of one value
+MOST_WHOLE = MOST_BYTES + 8 * 1024  # of one command or answer, arrays and all
 MOST_ITEMS = 64  # of one array; commands and answers have five at most
 MOST_DEPTH = 4
 MOST_LINE = 4 * 1024
@@ -31,17 +33,19 @@
 
 Value = Union[bytes, int, None, list["Value"]]
 MORE: Final = More()
+_NUMBER = re.compile(rb"-?[0-9]{1,19}")
 
 
 class Parser:
     """Fed bytes as they come, split anywhere; gives whole values in their order."""
 
-    __slots__ = ("ring", "_bulk", "_stack")
+    __slots__ = ("ring", "_bulk", "_stack", "_taken")
 
     def __init__(self) -> None:
         self.ring = Ring(MOST_BUFFERED)
         self._bulk = -1  # length of the string whose bytes come next
         self._stack: list[tuple[list[Value], int]] = []  # unfinished arrays and their lengths
+        self._taken = 0  # bytes of strings in them
 
     def feed(self, data: bytes) -> None:
         try:
@@ -49,6 +53,10 @@
         except RingFull:
             raise ProtocolError("too much at once") from None
 
+    def held(self) -> int:
+        """Bytes received that no whole value has been made of yet."""
+        return len(self.ring) + self._taken
+
     def idle(self) -> bool:
         """Between values: nothing of the next one has come."""
         return not self.ring and not self._stack and self._bulk < 0
@@ -94,6 +102,9 @@
                 kind = line[:1]
                 if kind == b"$":
                     self._bulk = _length(line, MOST_BYTES)
+                    self._taken += max(self._bulk, 0) if self._stack else 0
+                    if self._taken > MOST_WHOLE:  # many strings, each of which may be large
+                        raise ProtocolError("too much in one array")
                     if self._bulk >= 0:
                         continue
                     value = None
@@ -110,7 +121,8 @@
                 elif kind == b"-":
                     value = Fault(line[1:])
                 elif kind == b":":
-                    value = _integer(line[1:])
+                    # Unreadable, it is still whole on its line and ruins nothing beside it: no number.
+                    value = int(line[1:]) if _NUMBER.fullmatch(line, 1) else None
                 else:
                     raise ProtocolError("an unknown type")
             while self._stack:
@@ -121,19 +133,15 @@
                 self._stack.pop()
                 value = items
             else:
+                self._taken = 0
                 return value
 
 
-def _integer(text: bytes) -> int:
-    digits = text[1:] if text[:1] == b"-" else text
-    if not digits.isdigit() or len(digits) > 19:
-        raise ProtocolError("not a number")
-    return int(text)
-
-
 def _length(line: bytes, most: int) -> int:
     """A length; -1 stands for the null string or array."""
-    number = _integer(line[1:])
+    if not _NUMBER.fullmatch(line, 1):
+        raise ProtocolError("not a number")
+    number = int(line[1:])
     if not -1 <= number <= most:
         raise ProtocolError("a length out of range")
     return number
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -13,7 +13,7 @@
 from hazelhollow.config import Config, ConfigError
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
-from hazelhollow.net.acquirer import MEMORY_SHARE, Acquirer
+from hazelhollow.net.acquirer import MEMORY_SHARE, Acquirer, Terms
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Limiter
 from hazelhollow.net.peers import Peers
@@ -49,7 +49,14 @@
             )
         held = int(config.memory_mb * 2**20 * MEMORY_SHARE)
         self.acquirer = Acquirer(
-            scheduler, self.stats, self.limiter, config.listen, room * 3 // 5, held, self.issuers.spare
+            scheduler,
+            self.stats,
+            self.limiter,
+            Terms(config.settings),
+            config.listen,
+            room * 3 // 5,
+            held,
+            self.issuers.spare,
         )
         self.leaving = False
 
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -12,7 +12,7 @@
 
 class Stats:
     def __init__(self) -> None:
-        self.accepted = self.commands = self.malformed = self.relieved = 0  # acquirer side
+        self.accepted = self.commands = self.malformed = self.bad = self.relieved = 0  # acquirer side
         self.requests = self.served = self.declined = self.failed = self.clients_gone = 0
         self.rescued = 0  # requests answered here because the module had not
         self.legs = self.reused = self.opened = self.no_descriptor = 0  # issuer hosts
--- a/hazelhollow/wire.py
+++ b/hazelhollow/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -30,6 +31,9 @@
     "served_ps": "served_per_s",
     "failed_ps": "errors_per_s",
 }
+_REPORTED = {*_REPORTS, *_REPORTS.values()}
+_FIGURE = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")  # so neither `nan`, `inf` nor below nothing
+_MOST_REPORT = 256  # bytes
 _REPEAT = 2  # the bit of `opts` that marks a client's repeat
 
 
@@ -97,14 +101,12 @@
 
 
 def read_report(text: bytes) -> dict[str, float]:
-    """A load report as a real issuer host words it: `inflight=7,queue=2`."""
+    """A load report as a real issuer host words it: `inflight=7,queue=2`. What cannot be read is left out."""
     report = {}
-    for item in text.decode("ascii", "replace").split(",") if text else ():
+    for item in text.decode("ascii", "replace").split(",") if len(text) <= _MOST_REPORT else ():
         name, _, value = item.partition("=")
-        try:
+        if name in _REPORTED and _FIGURE.fullmatch(value):
             report[_REPORTS.get(name, name)] = float(value)
-        except ValueError:
-            continue
     return report
 
 
