A limit on requests open follows what peers are likely to have out, not fixed shares

At fault: decide._inside let a limit of 3 be 1 at each of three limiters, though a customer at its rate has less than one request out in all. Now the share is only the least; above it a request goes in while the Poisson estimate (peers' charges lately times how long an attempt is out) puts the chance of passing the limit at 4% or less (OPEN_RISK). Sums and wording moved from decide to state.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -12,7 +12,7 @@
 
 from hazelhollow import gossip
 from hazelhollow import interface as api
-from hazelhollow.state import Account, Attempt, Health, Held, Memory, Server, Store, listed
+from hazelhollow.state import Account, Attempt, Health, Held, Memory, Server, Store, at_least, listed
 
 PERIOD = 1.0  # seconds from one renewal of the budgets to the next
 FLUSHES = 10  # gossip rounds a period
@@ -20,6 +20,7 @@
 DIRECT = 8  # the largest set whose members tell each other, and the largest fleet whose gateways tell loads
 HUBS = 2  # members of a larger set that sum its charges and tell the rest how much is spent
 BUSY = 0.6  # of its rate: a customer that uses less is not worth telling about
+OPEN_RISK = 0.04  # of passing a limit on requests open, which a request may take
 RESERVE = 0.5  # of the burst: the part in which a large set lets in by chance
 NEWS = 0.25  # of the burst by which the set must be wrong about a level to be told
 FAILURES_TOLD = 2  # in one message, the latest
@@ -67,6 +68,7 @@
         self.random = random.Random(seed)
         self.work = {c.name: c.aim / 6 for c in settings.classes}  # learned seconds of a mean request
         self.tight = min(c.aim for c in settings.classes)
+        self.stay = self.tight / 6  # learned seconds that an attempt is out
         self.small = settings.gateways <= DIRECT
         peers = range(settings.gateways if self.small and settings.peers else 0)
         self.dirty = {n: {} for n in peers if n != settings.me}
@@ -167,13 +169,22 @@
         return min(c.aim for c in self.settings.classes if value[c.name] >= value[kind.name])
 
     def _inside(self, held: Held) -> bool:
-        account, plan, spread = held.account, held.account.plan, max(1, held.event.spread)
-        room = not plan.open_limit or account.open < max(1, plan.open_limit // spread)
+        account, plan = held.account, held.account.plan
+        room = not plan.open_limit or self._may_open(account, plan.open_limit)
         # What a large set was told is soon old: as the level falls fewer are let in, by chance, so that it
         # settles above nothing, where being a little wrong lets in a few more or less and none beyond.
         reserve = RESERVE * plan.burst * self.random.random() if account.telling else 0.0
         return room and (not plan.rate or account.budget.level >= held.event.units + reserve)
 
+    def _may_open(self, account: Account, limit: int) -> bool:
+        """A share of so small a limit turns away what the set as a whole has room for. What peers have out is
+        not told: it follows from what they charged lately and how long answers take."""
+        if account.open < max(1, limit // max(1, account.spread)):
+            return True
+        span, units = self.now - (self.period - 1) * PERIOD, sum(self.units.values()) / len(self.units)
+        mean = sum(account.totals.heard.values()) / span / units * self.stay
+        return at_least(limit - account.open, mean) <= OPEN_RISK
+
     def _charge(self, account: Account, held: Held) -> None:
         units, account.open = held.event.units, account.open + 1
         account.ceiling.level -= units if account.plan.ceiling_rate else 0.0
@@ -251,7 +262,7 @@
         if self.said[0] != self.now:
             self.said = self.now, gossip.head(self.period, self.wait / self.tight, self.life), self._seen()
         while self.messages.fill(self.now) >= 1.0 and (waiting or (self.small and not number)):
-            words = [word or self._word(*news) for news, word in waiting.items()]
+            words = [word or self.charge_word(*news) for news, word in waiting.items()]
             line, taken = gossip.pack(self.said[1], words)
             for news in list(waiting)[:taken]:
                 del waiting[news]
@@ -261,14 +272,6 @@
         if not waiting and not self.small:
             del self.dirty[peer]
 
-    def _word(self, key: str, period: int) -> str:
-        account = self.accounts.get(key)
-        if not account or period < self.period - 1:
-            return ""
-        plan, total = self.settings.plans.index(account.plan), account.totals.charged.get(period, 0.0)
-        word = gossip.Charge(key, plan, account.first, account.spread, self.period - period, total)
-        return gossip.write(word)
-
     def _seen(self) -> list[str]:
         """Of servers: in a small fleet the busiest; in a large one failures, of which each sees too few."""
         if self.small:
@@ -319,23 +322,16 @@
         for server in self.servers.values():
             server.width = max(WIDTH * server.entry.weight / mean, WIDTH / 4)
 
-    def _heard(self) -> list[dict[str, float]]:
-        return [load for at, load in self.loads.values() if at > self.now - SILENT * PERIOD]
-
-    def _backlog(self, server: Server, heard: list[dict[str, float]]) -> float:
-        """Seconds of work out at a server, by this gateway and by those heard of lately."""
-        return sum(server.out.values()) + sum([load.get(server.tag, 0.0) for load in heard])
-
     def _choose(self, held: Held) -> tuple[Server | None, float]:
         """The server of least expected delay among those that the gate allows, and that delay."""
-        work, kind, best, heard = self._work(held), held.kind, None, self._heard()
+        work, kind, best, heard = self._work(held), held.kind, None, self.heard_loads(SILENT * PERIOD)
         for rescue, servers in self._candidates():
             for server in servers:
                 gate = not held.attempts or may_send(held, server, self.settings, self.now)
                 fit = server.entry.state == "up" and gate and (rescue or self._fit(server, kind.name))
                 if not fit or not self._warm(server, work):
                     continue
-                delay = server.pace * (work + self._backlog(server, heard) / server.width)
+                delay = server.pace * (work + server.backlog(heard) / server.width)
                 away = server.entry.zone != self.settings.zone
                 aims = away * ZONE_DELAY * self.settings.cross_zone_price + held.tried(server)
                 blind = 1.0 if self.small else self.random.expovariate(server.width / WIDTH)
@@ -382,7 +378,8 @@
 
     def _send(self, held: Held, server: Server) -> None:
         work, number = self._work(held), len(held.attempts)
-        held.attempts.append(Attempt(server, self.now, work, self._backlog(server, self._heard())))
+        backlog = server.backlog(self.heard_loads(SILENT * PERIOD))
+        held.attempts.append(Attempt(server, self.now, work, backlog))
         server.out[held.event.id, number] = work
         (server.sent if self._cold(server) else self.warm_sent).add(self.now, work)
         self.actions.append(api.Send(held.event.id, server.entry.server))
@@ -422,6 +419,7 @@
         # an overload all are late, and ejecting would make it worse.
         slow = event.elapsed > kind.aim and self.wait < PRESSURE * self.tight
         if event.status == "ok":
+            self.stay += GAIN * (event.elapsed - self.stay)
             # Bounded steps: a few costly requests must not pass for a slow server; many slow answers must.
             base = server.pace * (attempt.work + attempt.backlog / server.width)
             step = GAIN * min(event.elapsed / max(base, self.settings.tick) - 1, 1.0)
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from zlib import crc32
 
@@ -76,6 +77,11 @@
             self.items.popleft()
 
 
+def at_least(count: int, mean: float) -> float:
+    """How likely a Poisson number of that mean is to reach the count."""
+    return 1.0 - sum(math.exp(-mean) * mean**k / math.factorial(k) for k in range(max(count, 0)))
+
+
 class Account:
     """One customer: its budget as this gateway knows it, and what its set was told of it last.
 
@@ -121,6 +127,11 @@
         self.sent = Window(cold_span)  # work, while cold
 
 
+    def backlog(self, heard: list[dict[str, float]]) -> float:
+        """Seconds of work out here, by this gateway and, as they told, by others."""
+        return sum(self.out.values()) + sum([load.get(self.tag, 0.0) for load in heard])
+
+
 def listed(servers: dict[str, Server], event: api.Servers, cold_span: float) -> dict[str, Server]:
     """The servers after a list or a change to it: what is known of one lasts until it has started anew."""
     if event.kind not in ("change", "failed"):
@@ -193,6 +204,19 @@
         held = self.held.values()
         return [a for one in held for a in one.attempts if a.out and a.sent_at > start]
 
+    def heard_loads(self, latest: float) -> list[dict[str, float]]:
+        """Of the peers that spoke within so many seconds."""
+        return [load for at, load in self.loads.values() if at > self.now - latest]
+
+    def charge_word(self, key: str, period: int) -> str:
+        """What peers are told of a customer; nothing once it is too old for them."""
+        account = self.accounts.get(key)
+        if not account or period < self.period - 1:
+            return ""
+        plan, total = self.settings.plans.index(account.plan), account.totals.charged.get(period, 0.0)
+        word = gossip.Charge(key, plan, account.first, account.spread, self.period - period, total)
+        return gossip.write(word)
+
     def forget(self, least: float) -> None:
         """Let go of accounts that would have filled up by now anyway. `used` counts charges heard of too: an
         account that was let go of in between would take a total that is said again for a new one."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Sequence
 from typing import Any, TypeVar
+from zlib import crc32
 
 import pytest
 from hypothesis import given, seed
@@ -413,3 +414,20 @@
         gateway.handle(api.PeerMessage(1, head.format(period) + charge + base36(10)), tenth / 10 + 0.01)
         seen.add(id(gateway.accounts[base36(77)]))
     assert len(seen) == 1
+
+
+def opened(gateway: Gateway, now: float) -> int:
+    """How many requests of one customer are let in, one after the other, while none ends."""
+    return sum(bool(only(ask(gateway, now, plan_name="few"), api.Send)) for _ in range(8))
+
+
+def test_a_limit_on_requests_open_goes_by_what_peers_are_likely_to_have_out() -> None:
+    """A fixed share of a small limit turns away what the set has room for; without it a busy set would pass the limit."""
+    few = api.Plan("few", rate=100.0, burst=300.0, open_limit=6)
+    assert opened(make(plans=(few,)), 1.0) == 6
+    key = base36(crc32(b"c") % 36**5)
+    for units, most in ((4, 4), (10, 2), (90, 2)):  # a second, by each of two peers, at a sixth of a second each
+        gateway = make(plans=(few,))
+        for peer in (1, 2):
+            gateway.handle(api.PeerMessage(peer, f"h10x {key}:0:0:3:0:{base36(10 * units)}"), 1.9)
+        assert opened(gateway, 1.9) == most
