--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -25,6 +25,7 @@
 NEWS = 0.25  # of the burst by which the set must be wrong about a level to be told
 FAILURES_TOLD = 2  # in one message, the latest
 SPENT = -1  # in place of a period: the level, for the set
+TOGETHER, MEETING = 1.0, 3.0  # seconds between the starts of gateways that began as one; to meet in
 SILENT = 2.0  # periods without a word before a peer counts as silent
 WIDTH = 2.0  # requests that a server of middling weight is taken to work on at once
 CANDIDATES = 4  # servers compared for a request, where loads are not known
@@ -68,11 +69,10 @@
         self.random = random.Random(seed)
         self.work = {c.name: c.aim / 6 for c in settings.classes}  # learned seconds of a mean request
         self.tight = min(c.aim for c in settings.classes)
-        self.stay = self.tight / 6  # learned seconds that an attempt is out
+        self.stay, self.retries = self.tight / 6, 1.0 / RETRY_SHARE  # learned seconds that an attempt is out
         self.small = settings.gateways <= DIRECT
         peers = range(settings.gateways if self.small and settings.peers else 0)
         self.dirty = {n: {} for n in peers if n != settings.me}
-        self.retries = 1.0 / RETRY_SHARE
         self.flush_every = max(PERIOD / FLUSHES, settings.tick)
         rate = INTAKE_SHARE * settings.messages_in_per_s
         self.messages = Store(rate, rate * PERIOD, 0.0, 0.0)  # how many may be sent
@@ -80,7 +80,7 @@
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
         self.actions = []
         if not self.life:
-            self.born, self.life = now, gossip.base36(int(now * FLUSHES) % 36**2)
+            self.born, self.life = now, gossip.life(now)
             self.actions.append(api.SetTimer(self.flush_every * self.random.uniform(0.5, 1.0), "beat"))
             self.actions += [api.Subscribe()] if self.settings.ask_for_servers else []
         self.now, self.period = now, int(now // PERIOD)
@@ -107,8 +107,8 @@
             # A new gateway allows the burst divided by its gateways, and the rate since its start. In a large
             # set, whose hubs will tell when it is spent, one request at least, or the quiet would be refused.
             part = max(plan.burst / max(spread, 1), self.settings.max_units if large else 0.0)
-            level = min(plan.burst, part + plan.rate * (self.now - self.born))
-            account = self.accounts[key] = Account(plan, level, self.born, self.now)
+            level = min(plan.burst, (plan.burst if self.whole else part) + plan.rate * (self.now - self.born))
+            account = self.accounts[key] = Account(plan, level, self.born, self.now, self.whole)
         if spread and (account.first, account.spread) != (first, spread):
             account.first, account.spread = first, spread
             start, step = (int(key, 36) % spread, spread // HUBS) if large else (0, 1)
@@ -177,13 +177,12 @@
         return room and (not plan.rate or account.budget.level >= held.event.units + reserve)
 
     def _may_open(self, account: Account, limit: int) -> bool:
-        """A share of so small a limit turns away what the set as a whole has room for. What peers have out is
-        not told: it follows from what they charged lately and how long answers take."""
-        if account.open < max(1, limit // max(1, account.spread)):
-            return True
+        """Shares of so small a limit turn away what the set as a whole has room for. What peers have out is not
+        told: it follows from what they charged lately and how long answers take."""
         span, units = self.now - (self.period - 1) * PERIOD, sum(self.units.values()) / len(self.units)
-        mean = sum(account.totals.heard.values()) / span / units * self.stay
-        return at_least(limit - account.open, mean) <= OPEN_RISK
+        others = sum(account.totals.heard.values()) / span / units * self.stay
+        share = max(1, limit // max(1, account.spread))
+        return account.open < share or at_least(limit - account.open, others) <= OPEN_RISK
 
     def _charge(self, account: Account, held: Held) -> None:
         units, account.open = held.event.units, account.open + 1
@@ -287,6 +286,7 @@
         behind = (self.period - message.period) % 36 if message else 2
         if not message or behind > 1 or event.sender == told.me or not 0 <= event.sender < told.gateways:
             return
+        self.meet(event.sender, message.life, TOGETHER, MEETING)
         for word in message.words:
             if isinstance(word, gossip.Failed):
                 kind = told.classes[word.kind].name if word.kind < len(told.classes) else ""
@@ -358,19 +358,16 @@
     def _warm(self, server: Server, work: float) -> bool:
         """Rule 4: a cold server's load stays under its share of what the warm ones are sent, by each gateway
         for itself. What is less than one request is sent by chance, so that the sum over gateways holds."""
-        if not self._cold(server):
-            return True
         age, told = max(self.now - server.entry.started, 0.0), self.settings
+        if not server.cold(self.now, told.cold_for):
+            return True
         share = told.cold_from + (1 - told.cold_from) * age / told.cold_for
-        warm = sum(s.width for s in self.servers.values() if not self._cold(s))
+        warm = sum(s.width for s in self.servers.values() if not s.cold(self.now, told.cold_for))
         mean = self.warm_sent.sum(self.now) / max(warm, WIDTH)
         mean = mean if warm else told.fall_time / server.pace / told.gateways  # all cold: what it could do
         room = mean * server.width * min(1.0, COLD_MARGIN * share) - server.sent.sum(self.now)
         return self.random.random() * work < room
 
-    def _cold(self, server: Server) -> bool:
-        return 0 < server.entry.started > self.now - self.settings.cold_for
-
     # Attempts
 
     def _work(self, held: Held) -> float:
@@ -381,7 +378,8 @@
         backlog = server.backlog(self.heard_loads(SILENT * PERIOD))
         held.attempts.append(Attempt(server, self.now, work, backlog))
         server.out[held.event.id, number] = work
-        (server.sent if self._cold(server) else self.warm_sent).add(self.now, work)
+        cold_for = self.settings.cold_for
+        (server.sent if server.cold(self.now, cold_for) else self.warm_sent).add(self.now, work)
         self.actions.append(api.Send(held.event.id, server.entry.server))
 
     def _outcome(self, event: api.Outcome) -> None:
@@ -399,14 +397,15 @@
         if event.final:
             held.ended = True
         elif not held.ended and not held.out():
-            self._proceed(held)
+            # What broke off at once cost the servers nothing: another try cannot feed an overload.
+            self._proceed(held, 1.0 if event.status == "full" else min(event.elapsed / attempt.work, 1.0))
         self.drop(event.id)
 
-    def _proceed(self, held: Held) -> None:
+    def _proceed(self, held: Held, price: float) -> None:
         """With no attempt out: another where it is legal and may yet be in time, else the final answer."""
         server, delay = self._choose(held)
-        if server and self.retries >= 1.0 and self.now + delay < min(held.aim_at, held.deadline):
-            self.retries -= 1.0
+        if server and self.retries >= price and self.now + delay < min(held.aim_at, held.deadline):
+            self.retries -= price
             self._send(held, server)
         else:
             held.ended = True
--- a/hazelhollow/gossip.py
+++ b/hazelhollow/gossip.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple, Union
 
 MOST_BYTES = 256
+_LIVES = 36**3  # tenths of a second after which the names of lives come again
 _TENTHS = 10
 _DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
 
@@ -60,6 +61,17 @@
     return base36(round(_TENTHS * value))
 
 
+def life(start: float) -> str:
+    """The name of a life that began then."""
+    return base36(int(start * _TENTHS) % _LIVES)
+
+
+def apart(life: str, other: str) -> float:
+    """Seconds between the starts of two."""
+    behind = (int(life, 36) - int(other, 36)) % _LIVES
+    return min(behind, _LIVES - behind) / _TENTHS
+
+
 def head(period: int, wait: float, life: str) -> str:
     return f"h{base36(period % 36)}{base36(min(35, round(_TENTHS * wait)))}{life}"
 
@@ -82,7 +94,7 @@
         first, *words = text.split(" ")
         if len(text) > MOST_BYTES or first[0] != "h" or not first.isalnum():
             return None
-        numbers = [int(digit, 36) for digit in first[1:3]]
+        numbers = [int(part, 36) for part in (first[1], first[2], first[3:] or "0")]
         return Message(
             numbers[0], numbers[1] / _TENTHS, first[3:], tuple(_word(w, plans, gateways, kinds) for w in words)
         )
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -90,12 +90,13 @@
 
     __slots__ = ("plan", "used", "open", "budget", "told", "telling", "ceiling", "totals", "first", "spread", "hubs")
 
-    def __init__(self, plan: api.Plan, level: float, born: float, now: float) -> None:
+    def __init__(self, plan: api.Plan, level: float, born: float, now: float, whole: bool) -> None:
         self.plan, self.used, self.open = plan, now, 0
         self.budget = Store(plan.rate, plan.burst, level, now)
         self.told, self.telling = Store(plan.rate, plan.burst, plan.burst, now), False
-        # Empty at the start: an earlier life of this gateway may have spent it.
-        self.ceiling, self.totals = Store(0.0, 0.0, 0.0, born), Totals(0)
+        # Empty at the start, unless it is known that nobody was there before: an earlier life of this gateway may
+        # have spent it.
+        self.ceiling, self.totals = Store(0.0, 0.0, plan.ceiling_burst if whole else 0.0, born), Totals(0)
         self.first, self.spread = 0, 0  # the set, once a request or a charge has named it
         self.hubs: list[int] = []  # those of the set that hear every charge
 
@@ -127,6 +128,9 @@
         self.sent = Window(cold_span)  # work, while cold
 
 
+    def cold(self, now: float, span: float) -> bool:
+        return 0 < self.entry.started > now - span
+
     def backlog(self, heard: list[dict[str, float]]) -> float:
         """Seconds of work out here, by this gateway and, as they told, by others."""
         return sum(self.out.values()) + sum([load.get(self.tag, 0.0) for load in heard])
@@ -186,12 +190,13 @@
         self.dirty: dict[int, dict[tuple[str, int], str]] = {}  # by whom to tell: customer, period, word
         self.booked: dict[str, None] = {}  # customers charged since the last renewal
         self.late: dict[str, float] = {}  # news that the first hub should have told, and since when
+        self.lives: dict[int, str] = {}  # peers met at the start, and when they began
         self.failed: dict[tuple[str, int], float] = {}  # servers' failures seen here, and when
         self.loads: dict[int, tuple[float, dict[str, float]]] = {}  # peers' work out, by server's tag
         self.warm_sent = Window(settings.fall_time)  # work sent to warm servers
         self.said: tuple[float, str, list[str]] = (-1.0, "", [])  # when, head and words of the last message
         self.leftover = self.wait = 0.0  # units; seconds that answers waited lately
-        self.born = 0.0
+        self.born, self.whole = 0.0, False  # its start, and whether it is known that all others began then too
         self.now, self.period, self.flushed, self.life = 0.0, 0, 0, ""
         self.actions: list[api.Action] = []
 
@@ -204,6 +209,19 @@
         held = self.held.values()
         return [a for one in held for a in one.attempts if a.out and a.sent_at > start]
 
+    def meet(self, sender: int, life: str, together: float, within: float) -> None:
+        """Once all others are met and all began with this gateway, nothing was spent before: the whole burst is
+        there, less what was charged since. Of one that starts among older ones it is not known."""
+        if self.whole or self.now - self.born > within:
+            return
+        self.lives[sender] = life
+        apart = [gossip.apart(self.life, other) for other in self.lives.values()]
+        if len(apart) == self.settings.gateways - 1 and max(apart) <= together:
+            self.whole = True
+            for account in self.accounts.values():
+                account.budget.level += account.plan.burst * (1.0 - 1.0 / max(account.spread, 1))
+                account.ceiling.level += account.ceiling.most or account.plan.ceiling_burst
+
     def heard_loads(self, latest: float) -> list[dict[str, float]]:
         """Of the peers that spoke within so many seconds."""
         return [load for at, load in self.loads.values() if at > self.now - latest]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,7 +15,7 @@
 
 from hazelhollow import interface as api
 from hazelhollow.decide import NEVER_RAN, Gateway
-from hazelhollow.gossip import MOST_BYTES, base36
+from hazelhollow.gossip import MOST_BYTES, base36, life
 
 LOOKUP = api.RequestClass("lookup", aim=1.0, deadline=4.0, worth=1.0, effect="safe")
 ISSUE = api.RequestClass("issue", aim=2.0, deadline=6.0, worth=1.0, effect="unsafe")
@@ -431,3 +431,32 @@
         for peer in (1, 2):
             gateway.handle(api.PeerMessage(peer, f"h10x {key}:0:0:3:0:{base36(10 * units)}"), 1.9)
         assert opened(gateway, 1.9) == most
+
+
+@pytest.mark.parametrize("lives, basic, hard", [((0.0, 0.6), 12, 8), ((0.0, -10.0), 4, 0), ((0.0,), 4, 0)])
+def test_who_began_together_has_the_whole_burst_and_who_began_later_a_part(
+    lives: tuple[float, ...], basic: int, hard: int
+) -> None:
+    """Of one that starts among older ones, or has not met all, it is not known what was spent before."""
+    for plan, most in (("basic", basic), ("hard", hard)):
+        gateway = make()
+        gateway.born, gateway.life = 1000.0, life(1000.0)
+        let_in = [ask(gateway, 1000.0, plan_name=plan)]
+        for peer, start in enumerate(lives, 1):
+            gateway.handle(api.PeerMessage(peer, f"h{base36(1000 % 36)}0{life(1000.0 + start)}"), 1000.0)
+        let_in += [ask(gateway, 1000.0, plan_name=plan) for _ in range(30)]
+        assert sum(bool(only(actions, api.Send)) for actions in let_in) == most
+
+
+def test_an_attempt_that_broke_off_at_once_costs_few_retries_and_a_long_one_costs_a_whole_one() -> None:
+    """Resets by the dozen cost the servers nothing; were they to spend the retries, requests would fail for it."""
+    for elapsed, most in ((0.0002, 200), (0.5, 30)):
+        gateway, retried = make(), 0
+        for number in range(200):
+            (send,) = only(ask(gateway, 1.0 + number, customer=str(number)), api.Send)
+            event = api.Outcome(send.id, 0, send.server, "reset", elapsed)
+            again = only(gateway.handle(event, 1.0 + number), api.Send)
+            retried += len(again)
+            for further in again:
+                gateway.handle(api.Outcome(send.id, 1, further.server, "ok", 0.1, True), 1.0 + number)
+        assert 0.9 * most <= retried <= most
