--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -177,7 +177,7 @@
         return room and (not plan.rate or account.budget.level >= held.event.units + reserve)
 
     def _may_open(self, account: Account, limit: int) -> bool:
-        """Shares of so small a limit turn away what the set as a whole has room for. What peers have out is not
+        """Shares of so small a limit turn away what the set has room for. What peers have out is not
         told: it follows from what they charged lately and how long answers take."""
         span, units = self.now - (self.period - 1) * PERIOD, sum(self.units.values()) / len(self.units)
         others = sum(account.totals.heard.values()) / span / units * self.stay
