--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -15,11 +15,12 @@
 from hazelhollow.state import Account, Attempt, Health, Held, Memory, Server, Store, at_least, listed
 
 PERIOD = 1.0  # seconds from one renewal of the budgets to the next
-FLUSHES = 10  # gossip rounds a period
+FLUSHES = 15  # gossip rounds a period
 INTAKE_SHARE = 0.8  # of the told intake of messages: what a gateway sends at most
 DIRECT = 8  # the largest set whose members tell each other, and the largest fleet whose gateways tell loads
 HUBS = 2  # members of a larger set that sum its charges and tell the rest how much is spent
 BUSY = 0.6  # of its rate: a customer that uses less is not worth telling about
+UNHEARD = 0.06  # seconds of peers' charges that are on their way
 OPEN_RISK = 0.04  # of passing a limit on requests open, which a request may take
 RESERVE = 0.5  # of the burst: the part in which a large set lets in by chance
 NEWS = 0.25  # of the burst by which the set must be wrong about a level to be told
@@ -170,19 +171,18 @@
 
     def _inside(self, held: Held) -> bool:
         account, plan = held.account, held.account.plan
-        room = not plan.open_limit or self._may_open(account, plan.open_limit)
         # What a large set was told is soon old: as the level falls fewer are let in, by chance, so that it
         # settles above nothing, where being a little wrong lets in a few more or less and none beyond.
-        reserve = RESERVE * plan.burst * self.random.random() if account.telling else 0.0
+        heard = account.totals.heard_rate(self.now - (self.period - 1) * PERIOD)
+        reserve = UNHEARD * heard + (RESERVE * plan.burst * self.random.random() if account.telling else 0.0)
+        room = not plan.open_limit or self._may_open(account, plan.open_limit, heard)
         return room and (not plan.rate or account.budget.level >= held.event.units + reserve)
 
-    def _may_open(self, account: Account, limit: int) -> bool:
-        """Shares of so small a limit turn away what the set has room for. What peers have out is not
-        told: it follows from what they charged lately and how long answers take."""
-        span, units = self.now - (self.period - 1) * PERIOD, sum(self.units.values()) / len(self.units)
-        others = sum(account.totals.heard.values()) / span / units * self.stay
-        share = max(1, limit // max(1, account.spread))
-        return account.open < share or at_least(limit - account.open, others) <= OPEN_RISK
+    def _may_open(self, account: Account, limit: int, heard: float) -> bool:
+        """Shares of so small a limit turn away what the set as a whole has room for."""
+        share, left = max(1, limit // account.spread), limit - account.open
+        others = max(heard / self.mean_units() * self.stay, account.told_open(self.now, self.stay))
+        return account.open < share or at_least(left, others) <= OPEN_RISK
 
     def _charge(self, account: Account, held: Held) -> None:
         units, account.open = held.event.units, account.open + 1
@@ -242,7 +242,7 @@
     def _announce(self, key: str) -> None:
         """The set is told what changes its decisions: of the busy, near the limit, told wrongly so far."""
         self.late.pop(key, None)
-        account, need = self.accounts.get(key), sum(self.units.values()) / len(self.units)
+        account, need = self.accounts.get(key), self.mean_units()
         if not account:
             return
         plan, level, believed = account.plan, account.budget.fill(self.now), account.told.fill(self.now)
@@ -298,7 +298,7 @@
                 account = self._account(word.customer, told.plans[word.plan], word.first, word.spread)
                 life, period = f"{event.sender}.{message.life}", self.period - behind - word.age
                 account.budget.level -= account.totals.hear(life, period, word.total)
-                account.used = self.now
+                account.used, account.theirs[event.sender] = self.now, (self.now, word.open)
                 self._news(word.customer, account)
         loads = {word.server: word.work for word in message.words if isinstance(word, gossip.Load)}
         self.loads.update({event.sender: (self.now, loads)} if self.small else {})
--- a/hazelhollow/gossip.py
+++ b/hazelhollow/gossip.py
@@ -11,7 +11,8 @@
 
 
 class Charge(NamedTuple):
-    """What the sender charged a customer, in all, in the period that lies `age` before the message's."""
+    """What the sender charged a customer, in all, in the period that lies `age` before the message's; and the
+    requests it has open for it, where the plan limits them."""
 
     customer: str
     plan: int
@@ -19,6 +20,7 @@
     spread: int
     age: int
     total: float
+    open: int = 0
 
 
 class Spent(NamedTuple):
@@ -80,7 +82,8 @@
     """One word of a message, with the space before it."""
     if isinstance(word, Charge):
         numbers = [base36(n) for n in (word.plan, word.first, word.spread, word.age)]
-        return f" {word.customer}:{':'.join(numbers)}:{_tenths(word.total)}"
+        open_now = f":{base36(word.open)}" if word.open else ""
+        return f" {word.customer}:{':'.join(numbers)}:{_tenths(word.total)}{open_now}"
     if isinstance(word, Spent):
         return f" {word.customer}/{base36(word.plan)}/{_tenths(word.units)}"
     if isinstance(word, Load):
@@ -109,10 +112,10 @@
         raise ValueError(text)
     int(name, 36)
     numbers = [int(part, 36) for part in rest]
-    if mark == ":" and len(numbers) == 5:
-        plan, first, spread, age, total = numbers
+    if mark == ":" and len(numbers) in (5, 6):
+        plan, first, spread, age, total, *open_now = numbers
         if plan < plans and first < gateways and 0 < spread <= gateways:
-            return Charge(name, plan, first, spread, age, total / _TENTHS)
+            return Charge(name, plan, first, spread, age, total / _TENTHS, sum(open_now))
     elif mark == "/" and len(numbers) == 2 and numbers[0] < plans:
         return Spent(name, numbers[0], numbers[1] / _TENTHS)
     elif mark == "=" and len(numbers) == 1:
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -53,6 +53,10 @@
         before, self.heard[life, period] = self.heard.get((life, period), 0.0), total
         return total - before
 
+    def heard_rate(self, span: float) -> float:
+        """Units a second that peers charged; `span`: since the start of the period before this one."""
+        return sum(self.heard.values()) / span if self.heard else 0.0
+
     def sum(self) -> float:
         return sum(self.charged.values()) + sum(self.heard.values())
 
@@ -88,7 +92,9 @@
     There is one for each customer seen lately, and many come only once: small objects keep memory flat.
     """
 
-    __slots__ = ("plan", "used", "open", "budget", "told", "telling", "ceiling", "totals", "first", "spread", "hubs")
+    __slots__ = (
+        "plan", "used", "open", "budget", "told", "telling", "ceiling", "totals", "theirs", "first", "spread", "hubs",
+    )  # fmt: skip
 
     def __init__(self, plan: api.Plan, level: float, born: float, now: float, whole: bool) -> None:
         self.plan, self.used, self.open = plan, now, 0
@@ -97,9 +103,14 @@
         # Empty at the start, unless it is known that nobody was there before: an earlier life of this gateway may
         # have spent it.
         self.ceiling, self.totals = Store(0.0, 0.0, plan.ceiling_burst if whole else 0.0, born), Totals(0)
+        self.theirs: dict[int, tuple[float, int]] = {}  # when peers told how many requests they had open
         self.first, self.spread = 0, 0  # the set, once a request or a charge has named it
         self.hubs: list[int] = []  # those of the set that hear every charge
 
+    def told_open(self, now: float, stay: float) -> float:
+        """What of the requests that peers said they had open will not have ended since."""
+        return sum([count * math.exp((at - now) / stay) for at, count in self.theirs.values()])
+
     def share_ceiling(self, spread: int) -> None:
         self.ceiling.rate, self.ceiling.most = self.plan.ceiling_rate / spread, self.plan.ceiling_burst / spread
 
@@ -205,6 +216,9 @@
         if self.held[request].ended and not self.held[request].out():
             self.held.pop(request).account.open -= 1
 
+    def mean_units(self) -> float:
+        return sum(self.units.values()) / len(self.units)
+
     def out_since(self, start: float) -> list[Attempt]:
         held = self.held.values()
         return [a for one in held for a in one.attempts if a.out and a.sent_at > start]
@@ -232,7 +246,8 @@
         if not account or period < self.period - 1:
             return ""
         plan, total = self.settings.plans.index(account.plan), account.totals.charged.get(period, 0.0)
-        word = gossip.Charge(key, plan, account.first, account.spread, self.period - period, total)
+        open_now = account.open if account.plan.open_limit else 0
+        word = gossip.Charge(key, plan, account.first, account.spread, self.period - period, total, open_now)
         return gossip.write(word)
 
     def forget(self, least: float) -> None:
