Commands that wait for their turn lose that time; what asks for no work is paced too

Found by reading: since a client's commands are taken in batches, the time a command waited in the session counted as its own (clock less start of this turn); its answer could come after the client had stopped waiting. It now counts from the read. PING, INFO and the like count for the pace as declines do, so that they can't be asked without end.

--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -20,7 +20,7 @@
 MOST_OUT = 4 * resp.MOST_BYTES  # answers that a client has not taken
 CHUNK = 16 * 1024  # read at a time
 BATCH = 16  # commands of one connection, and connections, that are taken before others get their turn
-TURNED_AWAY = 100.0  # declines and errors a second on one connection; a client that asks faster waits its turn
+TURNED_AWAY = 100.0  # commands a second on one connection that come to nothing; who asks faster waits its turn
 TURNED_AWAY_AT_ONCE = 200.0
 MOST_BAD = 16  # bad commands in a row, after which the connection ends
 STALL = 10.0  # seconds without a byte taken, after which a client is given up
@@ -153,6 +153,7 @@
         self._progress = (0, 0.0)  # bytes taken by the client, and since when
         self._begun: float | None = now  # since when a command is awaited: the first, or one of which a part came
         self._more = False  # there may be another whole command among what was read
+        self._came = now  # what was read last, which may have to wait here for its turn
         self._bad = 0  # commands in a row
         self._allowed, self._allowed_at = TURNED_AWAY_AT_ONCE, now  # to be turned away without having to wait
         self._doomed: float | None = None  # since when only what is owed is still answered
@@ -218,7 +219,8 @@
         return None
 
     def turned_away(self) -> None:
-        """Whoever asks again at once, however often, takes no more than its share of the processor."""
+        """Whoever asks again at once, however often, takes no more than its share of the processor. Declines and
+        errors count, and what asks for no work."""
         self._refill()
         self._allowed -= 1.0
 
@@ -268,6 +270,7 @@
                 if isinstance(data, Ending):
                     return data
                 if data and self._doomed is None:
+                    self._came = self._acquirer.scheduler.started_turn
                     self._take(data)
         return driver.ending
 
@@ -315,7 +318,7 @@
         verb, acquirer = words[0].upper(), self._acquirer
         if verb in (b"Q.ASK", b"Q.DO"):
             try:
-                late = acquirer.scheduler.clock() - acquirer.scheduler.started_turn
+                late = acquirer.scheduler.clock() - self._came
                 ask = Ask(words, acquirer.terms.read(words, late))
             except BadCommand as error:
                 acquirer.stats.bad += 1
@@ -325,7 +328,9 @@
             self._bad = 0
             slot.size = ask.size
             slot.open = acquirer.limiter.ask(ask, slot)
-        elif verb == b"PING":
+            return
+        self.turned_away()
+        if verb == b"PING":
             acquirer.when_ready(lambda: slot.settle(b"+PONG\r\n"))
         elif verb in (b"CLIENT", b"SELECT"):
             slot.settle(b"+OK\r\n")
@@ -333,7 +338,7 @@
             slot.settle(resp.bulk(acquirer.stats.text().encode()))
         else:
             self._bad += 1
-            slot.refused("unknown command")
+            slot.settle(b"-ERR unknown command\r\n")
 
 
 class Acquirer:
