--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -26,7 +26,10 @@
 STALL = 10.0  # seconds without a byte taken, after which a client is given up
 WHOLE_WITHIN = 2.0  # seconds that a command may take to come, and a connection to bring its first
 END_WITHIN = 2.0  # seconds that a connection which sent what is no command may wait for answers it is owed
-REST, REST_CROWDED = 10.0, 2.5  # seconds that a connection may be idle; when half of the places are taken
+REST = 10.0  # seconds that a connection may be idle
+LEAST_REST = 0.1  # seconds that it stays in any case, or a client could not use it again
+KEPT_SHARE = 0.25  # of the descriptors: connections that have brought a command. Clients hold a third of the
+# descriptors at most, and many ask once and keep theirs for good; past that others would find none left to ask on.
 BACKLOG = 1024
 ACCEPT_PAUSE = 0.05  # when no descriptor is left
 MEMORY_SHARE = 0.25  # of the limit: what all clients together may make this limiter hold
@@ -169,7 +172,7 @@
 
     def end(self, ending: Ending) -> None:
         self._driver.close(ending)
-        self._acquirer.sessions.discard(self)
+        self._acquirer.drop(self)
         slots, self._slots = self._slots, deque()
         for slot in slots:
             one, slot.open = slot.open, None
@@ -183,14 +186,6 @@
     def _settled(self) -> bool:
         return not self._slots and not self._driver.out
 
-    def idle(self) -> bool:
-        """Nothing is owed and nothing has come in part; `resting` says so with certainty, for a system call."""
-        return self._settled() and self._parser.idle()
-
-    def silent(self) -> bool:
-        """It has never sent a whole command."""
-        return self._begun is not None and self.idle()
-
     def held(self) -> int:
         """Bytes in memory on this client's account."""
         return self._parser.held() + len(self._driver.out) + sum([slot.size for slot in self._slots])
@@ -200,7 +195,7 @@
         self.finishing = True
         self._driver.wake()
 
-    def overdue(self, now: float, rest: float) -> Ending | None:
+    def overdue(self, now: float) -> Ending | None:
         """Why it has to go, if it has: who is slow or says nothing must not keep others from a place."""
         if self._doomed is not None:
             return Ending.MALFORMED if now - self._doomed >= END_WITHIN else None
@@ -210,11 +205,11 @@
             if now - self._progress[1] >= STALL:
                 return Ending.STALLED
         if self._begun is not None and now - self._begun >= WHOLE_WITHIN:
-            if self.silent():
+            if self.resting():
                 return Ending.IDLE
             self._malformed("a command that does not come to its end")
             self._driver.wake()
-        elif now - self.idle_since >= rest and self.resting():
+        elif now - self.idle_since >= REST and self.resting():
             return Ending.IDLE
         return None
 
@@ -232,6 +227,8 @@
     def push(self) -> None:
         """Hands over the answers whose turn has come, as far as the ring has room for them."""
         slots, out = self._slots, self._driver.out
+        if not slots:
+            return
         full = len(slots) >= MOST_PIPELINED
         while slots and slots[0].answer is not None:
             answer = slots[0].answer
@@ -241,6 +238,7 @@
             self._driver.write(answer)
         if not slots:
             self.idle_since = self._acquirer.scheduler.clock()
+            self._acquirer.rests(self)
         if self.finishing or self._doomed is not None or (full and len(slots) < MOST_PIPELINED):
             self._driver.wake()
 
@@ -307,7 +305,7 @@
             words: list[bytes] = [w for w in value if isinstance(w, bytes)]
             slot = Slot(self)
             self._slots.append(slot)
-            self._acquirer.stats.commands += 1
+            self._acquirer.works(self)
             self._begun = None
             self._command(words, slot)
             if self._bad >= MOST_BAD:
@@ -352,12 +350,16 @@
         terms: Terms,
         listen: tuple[str, int],
         most_sessions: int,
+        most_kept: int,
         most_held: int,
         spare: Callable[[], bool],
     ) -> None:
         self.scheduler, self.stats, self.limiter, self.terms = scheduler, stats, limiter, terms
         self.sessions: set[Session] = set()
-        self._most, self._most_held, self._spare = most_sessions, most_held, spare
+        # Those that may go when room is needed, the longest silent or idle first.
+        self._silent: dict[Session, None] = {}  # that have never sent a whole command
+        self._idle: dict[Session, None] = {}
+        self._most, self._most_kept, self._most_held, self._spare = most_sessions, most_kept, most_held, spare
         self._ready = False
         self._waiting: list[Callable[[], None]] = []
         scheduler.at(scheduler.clock() + TIDY, self._tidy)
@@ -389,7 +391,7 @@
                     break
 
     def _accept(self) -> bool:
-        if len(self.sessions) >= self._most and not any(s.idle() for s in self.sessions):
+        if len(self.sessions) >= self._most and not self._silent and not self._idle:
             self.scheduler.sleep(ACCEPT_PAUSE)
             return False
         try:
@@ -404,24 +406,52 @@
             self._close_idlest()
         session = Session(self, stream.Stream(self.scheduler, sock, MOST_OUT))
         self.sessions.add(session)
+        self._silent[session] = None
         self.scheduler.spawn(session.run, name="session")
         return True
 
     def _close_idlest(self) -> bool:
         """Those that have not said a word go first: a usual client speaks as soon as it is connected."""
-        idle = [(not s.silent(), s.idle_since, id(s), s) for s in self.sessions if s.idle()]
-        for *_, session in sorted(idle):
-            if session.resting():
-                session.end(Ending.NO_DESCRIPTOR)
-                return True
+        for places in (self._silent, self._idle):
+            for session in list(places):
+                if session.resting():
+                    session.end(Ending.NO_DESCRIPTOR)
+                    return True
+                places.pop(session)  # it has something to do, and comes back after that
         return False
 
+    def works(self, session: Session) -> None:
+        """A command has come."""
+        self.stats.commands += 1
+        self._silent.pop(session, None)
+        self._idle.pop(session, None)
+
+    def rests(self, session: Session) -> None:
+        """Its last answer is on its way."""
+        if session not in self.sessions:
+            return
+        self._idle.pop(session, None)
+        self._idle[session] = None
+        now = self.scheduler.clock()
+        while len(self.sessions) - len(self._silent) > self._most_kept:
+            oldest = next(iter(self._idle))
+            if now - oldest.idle_since < LEAST_REST:
+                break
+            if oldest.resting():
+                oldest.end(Ending.IDLE)
+            else:
+                self._idle.pop(oldest)
+
+    def drop(self, session: Session) -> None:
+        self.sessions.discard(session)
+        self._silent.pop(session, None)
+        self._idle.pop(session, None)
+
     def _tidy(self) -> None:
         now = self.scheduler.clock()
         self.scheduler.at(now + TIDY, self._tidy)
-        rest = REST_CROWDED if 2 * len(self.sessions) > self._most else REST
         for session in list(self.sessions):
-            ending = session.overdue(now, rest)
+            ending = session.overdue(now)
             if ending:
                 session.end(ending)
         # Many slow clients at once may hold more than there is, each within its own bound: the largest go.
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -13,7 +13,7 @@
 from hazelhollow.config import Config, ConfigError
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
-from hazelhollow.net.acquirer import MEMORY_SHARE, Acquirer, Terms
+from hazelhollow.net.acquirer import KEPT_SHARE, MEMORY_SHARE, Acquirer, Terms
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Limiter
 from hazelhollow.net.peers import Peers
@@ -55,6 +55,7 @@
             Terms(config.settings),
             config.listen,
             room * 3 // 5,
+            max(4, int(config.sockets * KEPT_SHARE)),
             held,
             self.issuers.spare,
         )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -498,6 +498,14 @@
     assert one.ask.request.patience <= 0.55
 
 
+def test_connections_of_clients_that_ask_once_and_stay_go_before_others_find_none_left() -> None:
+    stage = Stage(hosts=1, sockets=80)  # room for 28 clients, of which 20 that have asked are kept
+    for number in range(25):
+        stage.play(f"c{number} send [SELECT 0]\nc{number} expect +OK\nc0 send [SELECT 0]\nc0 expect +OK\nwait 0.1")
+    assert len(stage.service.acquirer.sessions) == 20
+    stage.play("c1 expect closed\nc5 expect closed\nc6 expect nothing\nc24 expect nothing\nc0 send [PING]\nc0 expect +PONG")
+
+
 def test_of_idle_connections_those_that_never_spoke_go_first(monkeypatch: pytest.MonkeyPatch) -> None:
     stage = Stage(hosts=1, sockets=0)  # room for nine clients
     stage.play("a send [SELECT 0]\na expect +OK\nwait 0.1")
