What hangs at a calm time goes to another server; a server that answers nothing gets nothing new

Change: at each round of gossip, attempts of safe classes that have been out for eight times their usual time and 0.6 of the tightest aim are cancelled while the wait is low, retries are left and the aim can be kept; then another server is tried. It counts as the server's failure only if that has answered nothing meanwhile; such a server is not chosen. A leg's own timer goes with it.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -35,6 +35,8 @@
 ADVICE = 0.25  # of the aim: how long to stay away under pressure and still come back in time
 LEFTOVER = 0.1  # the same for excess worth its cost, and its share of the charges inside budgets
 RETRY_SHARE = 0.1  # further attempts for each first one, so that retries cannot feed an overload
+CALM, HUSH = 0.1, 0.6  # of the tightest aim: a wait that no overload explains; silence that is too long
+HANGS = 8.0  # times what is usual, after which an attempt is held to hang
 ZONE_DELAY = 2.0  # aims of delay that crossing zones is held to be worth, times its price
 EJECT_AFTER = 2.5  # failures, each of which counts less as it ages, and half after an answer
 EJECT_FOR, EJECT_AT_MOST = 1.0, 8.0  # seconds, doubled each time the trial after it fails
@@ -68,7 +70,6 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         super().__init__(settings)
         self.random = random.Random(seed)
-        self.work = {c.name: c.aim / 6 for c in settings.classes}  # learned seconds of a mean request
         self.tight = min(c.aim for c in settings.classes)
         self.stay, self.retries = self.tight / 6, 1.0 / RETRY_SHARE  # learned seconds that an attempt is out
         self.small = settings.gateways <= DIRECT
@@ -95,9 +96,8 @@
             self._flush()
         elif isinstance(event, api.Servers):
             self._list(event)
-        elif isinstance(event, api.ClientGone) and event.id in self.held:
-            self.held[event.id].ended = True
-            self.drop(event.id)
+        elif isinstance(event, api.ClientGone):
+            self.end(event.id)
         return self.actions
 
     # Budgets
@@ -111,12 +111,8 @@
             level = min(plan.burst, (plan.burst if self.whole else part) + plan.rate * (self.now - self.born))
             account = self.accounts[key] = Account(plan, level, self.born, self.now, self.whole)
         if spread and (account.first, account.spread) != (first, spread):
-            account.first, account.spread = first, spread
-            start, step = (int(key, 36) % spread, spread // HUBS) if large else (0, 1)
-            places = range(start, start + step * (HUBS if large else spread), step)
-            hubs = [(first + place % spread) % self.settings.gateways for place in places]
-            account.hubs = hubs if self.settings.peers else []
-            if large and self.settings.me in hubs and not account.telling:
+            account.place(first, spread, self.settings, int(key, 36), HUBS if large else 0)
+            if large and self.settings.me in account.hubs and not account.telling:
                 account.budget.level = plan.burst  # it hears what is used, and from the other hub what was
             account.share_ceiling(spread)  # shares sum to the second store, so each is safe alone
         account.budget.fill(self.now)
@@ -144,7 +140,7 @@
 
     def _admit(self, held: Held) -> None:
         server, delay = self._choose(held)
-        wait, limit = delay - (server.pace if server else 1.0) * self._work(held), self._limit(held.kind)
+        wait, limit = delay - (server.pace if server else 1.0) * self.work_of(held), self._limit(held.kind)
         # One gateway of many sees no queue: it goes by how long answers waited here and at its peers, by
         # chance so that not all shed at once. Holds against any overload; may hurt just after its end.
         wait = wait if self.small else max(wait, self.wait * self.random.uniform(0.5, 1.0))
@@ -161,9 +157,8 @@
         self._send(held, server)
 
     def _limit(self, kind: api.RequestClass) -> float:
-        """A class may fill the queues only as far as every class worth as much for its work can bear. With a
-        limit by its own aim alone, the longest aim takes the servers for itself, whatever slowed them. In a
-        large fleet, where the wait is told late, all keep to the tightest aim; the cheaper yield first."""
+        """A class may fill the queues only as far as each class worth as much for its work can bear: by its
+        own aim the longest took all. A large fleet, told late, keeps to the tightest; the cheap give way."""
         value = {c.name: c.worth * self.units[c.name] / self.work[c.name] for c in self.settings.classes}
         if not self.small:
             return self.tight * value[kind.name] / max(value.values())
@@ -208,6 +203,7 @@
                     self._mark(account.hubs, key, self.period - 1)
         for key in [k for k, since in self.late.items() if self.now - since >= self.flush_every]:
             self._announce(key)
+        self._leave()
         for peer in list(self.dirty):  # in a large fleet those that wait, longest first
             if self.messages.fill(self.now) >= 1.0:
                 self._tell(peer)
@@ -276,8 +272,8 @@
         if self.small:
             loads = [(sum(s.out.values()), s.tag) for s in self.servers.values() if s.out]
             return [gossip.write(gossip.Load(tag, work)) for work, tag in sorted(loads, reverse=True)]
-        self.failed = {k: at for k, at in self.failed.items() if self.now - at < SILENT * PERIOD}
-        return [gossip.write(gossip.Failed(*k)) for k in list(self.failed)[-FAILURES_TOLD:]]
+        latest = self.latest_failed(FAILURES_TOLD, SILENT * PERIOD)
+        return [gossip.write(gossip.Failed(*k)) for k in latest]
 
     def _peer(self, event: api.PeerMessage) -> None:
         """Garbled, foreign or stale messages change nothing: all is read before anything is applied."""
@@ -324,7 +320,7 @@
 
     def _choose(self, held: Held) -> tuple[Server | None, float]:
         """The server of least expected delay among those that the gate allows, and that delay."""
-        work, kind, best, heard = self._work(held), held.kind, None, self.heard_loads(SILENT * PERIOD)
+        work, kind, best, heard = self.work_of(held), held.kind, None, self.heard_loads(SILENT * PERIOD)
         for rescue, servers in self._candidates():
             for server in servers:
                 gate = not held.attempts or may_send(held, server, self.settings, self.now)
@@ -353,16 +349,17 @@
     def _fit(self, server: Server, kind: str) -> bool:
         """It may fail one class and serve the rest. Its term over, it comes back by one attempt at a time."""
         known = [server.health[name] for name in ("", kind) if name in server.health] if server.health else []
-        return all([h.failures < EJECT_AFTER or (self.now >= h.until and not server.out) for h in known])
+        well = all([h.failures < EJECT_AFTER or (self.now >= h.until and not server.out) for h in known])
+        return well and not server.silent(self.now, HUSH * self.tight)
 
     def _warm(self, server: Server, work: float) -> bool:
         """Rule 4: a cold server's load stays under its share of what the warm ones are sent, by each gateway
         for itself. What is less than one request is sent by chance, so that the sum over gateways holds."""
         age, told = max(self.now - server.entry.started, 0.0), self.settings
-        if not server.cold(self.now, told.cold_for):
+        if not server.cold(self.now, told):
             return True
         share = told.cold_from + (1 - told.cold_from) * age / told.cold_for
-        warm = sum(s.width for s in self.servers.values() if not s.cold(self.now, told.cold_for))
+        warm = sum(s.width for s in self.servers.values() if not s.cold(self.now, told))
         mean = self.warm_sent.sum(self.now) / max(warm, WIDTH)
         mean = mean if warm else told.fall_time / server.pace / told.gateways  # all cold: what it could do
         room = mean * server.width * min(1.0, COLD_MARGIN * share) - server.sent.sum(self.now)
@@ -370,18 +367,24 @@
 
     # Attempts
 
-    def _work(self, held: Held) -> float:
-        return self.work[held.kind.name] * 0.5 * (1.0 + held.event.units / self.units[held.kind.name])
-
     def _send(self, held: Held, server: Server) -> None:
-        work, number = self._work(held), len(held.attempts)
+        work, number = self.work_of(held), len(held.attempts)
         backlog = server.backlog(self.heard_loads(SILENT * PERIOD))
         held.attempts.append(Attempt(server, self.now, work, backlog))
+        server.since = server.since if server.out else self.now
         server.out[held.event.id, number] = work
-        cold_for = self.settings.cold_for
-        (server.sent if server.cold(self.now, cold_for) else self.warm_sent).add(self.now, work)
+        (server.sent if server.cold(self.now, self.settings) else self.warm_sent).add(self.now, work)
         self.actions.append(api.Send(held.event.id, server.entry.server))
 
+    def _leave(self) -> None:
+        """What hangs goes elsewhere while that may be in time. Not in an overload, in which all wait."""
+        calm = self.settings.cancelling and self.retries >= 1.0 and self.wait < CALM * self.tight
+        for held, number in self.hanging(HANGS, HUSH * self.tight) if calm else ():
+            if held.kind.effect == "safe" and self.now + self.stay < held.aim_at:
+                self.actions.append(api.Cancel(held.event.id, number))
+                if held.attempts[number].server.silent(self.now, HUSH * self.tight):
+                    self._failure(held.attempts[number].server, "")
+
     def _outcome(self, event: api.Outcome) -> None:
         held = self.held.get(event.id)
         if not held or not 0 <= event.attempt < len(held.attempts) or not held.attempts[event.attempt].out:
@@ -394,9 +397,8 @@
             period = max(int(held.came // PERIOD), self.period - 1)
             held.account.totals.turn(self.period)
             self._book(held.key, held.account, event.true_units - held.event.units, period)
-        if event.final:
-            held.ended = True
-        elif not held.ended and not held.out():
+        held.ended = held.ended or event.final
+        if not held.ended and not held.out():
             # What broke off at once cost the servers nothing: another try cannot feed an overload.
             self._proceed(held, 1.0 if event.status == "full" else min(event.elapsed / attempt.work, 1.0))
         self.drop(event.id)
@@ -414,6 +416,7 @@
 
     def _learn(self, attempt: Attempt, kind: api.RequestClass, event: api.Outcome) -> None:
         server, waited = attempt.server, event.elapsed - attempt.work > self.wait
+        server.since = self.now if event.status in ("ok", "error", "full") else server.since
         # Late while others hardly wait is a failure of this server, whatever slowed it; it may die next. In
         # an overload all are late, and ejecting would make it worse.
         slow = event.elapsed > kind.aim and self.wait < PRESSURE * self.tight
@@ -427,19 +430,16 @@
             for health in [server.health[n] for n in ("", kind.name) if n in server.health and not slow]:
                 health.failures, health.ejections = health.failures / 2, 0
         if (slow or event.status != "ok") and event.status not in ("cancelled", "moot"):
-            waited, name = True, "" if event.status in NEVER_RAN else kind.name
+            waited, name = True, "" if event.status in (*NEVER_RAN, "timeout") else kind.name
             self._failure(server, name)
             if event.status != "full" and not self.small:  # one that is short must not eject itself so
-                place = server.tag, [*self.classes, ""].index(name)
-                self.failed.pop(place, None)
-                self.failed[place] = self.now
+                self.failed[server.tag, [*self.classes, ""].index(name)] = self.now
         # The middle of what answers waited, not the mean: a few slow or failing servers are no overload.
         self.wait = max(0.0, self.wait + GAIN * self.tight * (1 if waited else -1))
 
     def _failure(self, server: Server, kind: str) -> None:
         health = server.health.setdefault(kind, Health())
         if health.count(self.now, EJECT_AT_MOST) >= EJECT_AFTER and self.now >= health.until:
-            term = min(EJECT_FOR * 2.0**health.ejections, EJECT_AT_MOST)
-            health.ejections, health.until = health.ejections + 1, self.now + term
+            health.eject(self.now, EJECT_FOR, EJECT_AT_MOST)
             if health.ejections == 1:
                 self.actions.append(api.Log(f"ejected {server.entry.server}: {kind or 'every class'} fails"))
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/issuer.py
@@ -49,15 +49,18 @@
 class Leg:
     """One attempt, from the request to start it to its one result."""
 
-    __slots__ = ("host", "command", "done", "line", "started")
+    __slots__ = ("host", "command", "done", "line", "started", "timer")
 
     def __init__(self, host: Host, command: bytes, done: Callable[[Result], None], started: float) -> None:
         self.host, self.command, self.started = host, command, started
         self.done: Callable[[Result], None] | None = done
         self.line: Line | None = None
+        self.timer: sch.Timer | None = None  # at which it is given up before its request is
 
     def finish(self, result: Result) -> None:
         done, self.done = self.done, None
+        if self.timer:
+            self.timer.cancel()  # it would hold the leg and its line until then
         if done:
             done(result)
 
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -209,7 +209,7 @@
         leg = self._issuers.start(action.server, command, lambda result: self._leg_done(one, number, result))
         one.legs.append(leg)
         if now + left < one.deadline:
-            self._scheduler.at(now + left, self._issuers.give_up, leg, Ending.TIMED_OUT)
+            leg.timer = self._scheduler.at(now + left, self._issuers.give_up, leg, Ending.TIMED_OUT)
 
     def _answer(self, request: str) -> Open | None:
         """The record of a request that gets its final answer now."""
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -111,6 +111,13 @@
         """What of the requests that peers said they had open will not have ended since."""
         return sum([count * math.exp((at - now) / stay) for at, count in self.theirs.values()])
 
+    def place(self, first: int, spread: int, told: api.Settings, number: int, hubs: int) -> None:
+        """The set, and those of it that hear every charge: all, or in a large one so many hubs."""
+        self.first, self.spread = first, spread
+        start, step = (number % spread, spread // hubs) if hubs else (0, 1)
+        places = range(start, start + step * (hubs or spread), step)
+        self.hubs = [(first + place % spread) % told.gateways for place in places] if told.peers else []
+
     def share_ceiling(self, spread: int) -> None:
         self.ceiling.rate, self.ceiling.most = self.plan.ceiling_rate / spread, self.plan.ceiling_burst / spread
 
@@ -127,6 +134,11 @@
         self.at = now
         return self.failures
 
+    def eject(self, now: float, least: float, most: float) -> None:
+        """For a term that doubles each time."""
+        term = min(least * 2.0**self.ejections, most)
+        self.ejections, self.until = self.ejections + 1, now + term
+
 
 class Server:
     """What this gateway knows of one server."""
@@ -135,12 +147,17 @@
         self.entry, self.width, self.pace = entry, 1.0, 1.0
         self.tag = gossip.base36(crc32(entry.server.encode()) % 36**3)  # its name in messages
         self.out: dict[tuple[str, int], float] = {}  # attempts out and their work
+        self.since = 0.0  # when it answered last, or got work while it had none out
         self.health: dict[str, Health] = {}  # by class; under no name for all of them
         self.sent = Window(cold_span)  # work, while cold
 
 
-    def cold(self, now: float, span: float) -> bool:
-        return 0 < self.entry.started > now - span
+    def silent(self, now: float, span: float) -> bool:
+        """It has work out and has not answered anything for so long."""
+        return bool(self.out) and now - self.since > span
+
+    def cold(self, now: float, told: api.Settings) -> bool:
+        return 0 < self.entry.started > now - told.cold_for
 
     def backlog(self, heard: list[dict[str, float]]) -> float:
         """Seconds of work out here, by this gateway and, as they told, by others."""
@@ -193,6 +210,7 @@
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: p for p in settings.plans}
         self.units = {c.name: 1.0 for c in settings.classes}  # learned mean units
+        self.work = {c.name: c.aim / 6 for c in settings.classes}  # learned seconds of a mean request
         self.patience = {c.name: 0.0 for c in settings.classes}  # the longest seen
         self.accounts: dict[str, Account] = {}
         self.servers: dict[str, Server] = {}
@@ -211,6 +229,12 @@
         self.now, self.period, self.flushed, self.life = 0.0, 0, 0, ""
         self.actions: list[api.Action] = []
 
+    def end(self, request: str) -> None:
+        """Nothing is owed any more."""
+        if request in self.held:
+            self.held[request].ended = True
+            self.drop(request)
+
     def drop(self, request: str) -> None:
         """Let go of a request that has ended, once none of its attempts is out."""
         if self.held[request].ended and not self.held[request].out():
@@ -219,6 +243,19 @@
     def mean_units(self) -> float:
         return sum(self.units.values()) / len(self.units)
 
+    def work_of(self, held: Held) -> float:
+        return self.work[held.kind.name] * 0.5 * (1.0 + held.event.units / self.units[held.kind.name])
+
+    def hanging(self, times: float, least: float) -> list[tuple[Held, int]]:
+        """Attempts out for longer than so many times what is usual for them, and than the least."""
+        found = []
+        for held in self.held.values():
+            for number, a in enumerate(held.attempts):
+                usual = a.server.pace * (a.work + a.backlog / a.server.width)
+                if a.out and not held.ended and self.now - a.sent_at > max(times * usual, least):
+                    found.append((held, number))
+        return found
+
     def out_since(self, start: float) -> list[Attempt]:
         held = self.held.values()
         return [a for one in held for a in one.attempts if a.out and a.sent_at > start]
@@ -236,6 +273,11 @@
                 account.budget.level += account.plan.burst * (1.0 - 1.0 / max(account.spread, 1))
                 account.ceiling.level += account.ceiling.most or account.plan.ceiling_burst
 
+    def latest_failed(self, count: int, span: float) -> list[tuple[str, int]]:
+        """Of the failures seen here within that span; the older ones are forgotten."""
+        self.failed = {k: at for k, at in self.failed.items() if self.now - at < span}
+        return sorted(self.failed, key=self.failed.__getitem__)[-count:]
+
     def heard_loads(self, latest: float) -> list[dict[str, float]]:
         """Of the peers that spoke within so many seconds."""
         return [load for at, load in self.loads.values() if at > self.now - latest]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -356,7 +356,7 @@
     gateway = make()
     ask(gateway, 100.0, customer="first", patience=4.0)  # shows the patience of a first try
     for server in gateway.servers.values():
-        server.out["other", 0] = 0.4  # seconds of work: a wait between the two limits
+        server.out["other", 0], server.since = 0.4, 100.0  # seconds of work: a wait between the two limits
     assert only(ask(gateway, 100.1, customer="a", patience=2.5), api.Refuse)
     assert only(ask(gateway, 100.1, customer="b", patience=4.0), api.Send)
     assert only(ask(gateway, 100.1, customer="c", patience=3.5), api.Send)
@@ -479,3 +479,44 @@
         gateway.handle(api.PeerMessage(1, f"h10x {key}:0:0:3:0:{base36(10 * heard)}"), 1.9)
         gateway.accounts[key].budget.level = 10.0
         assert sum(bool(only(ask(gateway, 1.9, plan_name="quick"), api.Send)) for _ in range(20)) == most
+
+
+def hung(gateway: Gateway, kind: str, wait: float, answers: bool) -> tuple[list[str], str]:
+    """The host at which a request hangs after some usual ones, and those it goes to once the gateway has looked."""
+    for number in range(30):
+        for send in only(ask(gateway, 1.0 + number / 10, customer=str(number)), api.Send):
+            gateway.handle(api.Outcome(send.id, 0, send.server, "ok", 0.02, True), 1.02 + number / 10)
+    (send,) = only(ask(gateway, 5.0, kind), api.Send)
+    gateway.wait = wait
+    if answers:
+        gateway.servers[send.server].since = 5.7
+    cancels = only(gateway.handle(api.Timer("beat"), 5.75), api.Cancel)
+    actions = [gateway.handle(api.Outcome(c.id, c.attempt, send.server, "cancelled", 0.75), 5.75) for c in cancels]
+    return [again.server for a in actions for again in only(a, api.Send)], send.server
+
+
+@pytest.mark.parametrize("answers", [False, True])
+def test_what_hangs_at_a_calm_time_goes_to_another_server(answers: bool) -> None:
+    gateway = make(cancelling=True)
+    (other,), first = hung(gateway, "lookup", 0.0, answers)
+    assert other != first
+    assert bool(gateway.servers[first].health) is not answers  # one answer that is lost is no failing server
+
+
+def test_what_hangs_stays_in_an_overload_and_where_it_may_not_be_repeated() -> None:
+    assert hung(make(cancelling=True), "lookup", 0.5, False)[0] == []
+    assert hung(make(cancelling=True), "issue", 0.0, False)[0] == []
+    assert hung(make(), "lookup", 0.0, False)[0] == []
+
+
+def test_a_server_that_answers_nothing_gets_nothing_new() -> None:
+    gateway = make()
+    (hangs,) = only(ask(gateway, 1.0), api.Send)
+    for name, server in gateway.servers.items():
+        server.pace = 1.0 if name == hangs.server else 5.0  # else it would be the best
+    later = set()
+    for number in range(40):
+        (send,) = only(ask(gateway, 1.9, customer=str(number)), api.Send)
+        gateway.handle(api.Outcome(send.id, 0, send.server, "ok", 0.05, True), 1.9)
+        later.add(send.server)
+    assert later and hangs.server not in later
