Operator file: typed records in a subset of CUE, with config check and show

The growth asks for settings that the platform's JSON does not know, and for structured logs, without any cost to the platform's path.

The reader is a grammar on lark, a syntax tree with a place for every part and an evaluator by nodes and conjuncts: unification, closed definitions, defaults, disjunctions, references, bounds. All troubles of a file come at once, with file, line, column, path, what was found and what is allowed. Values become frozen msgspec records, times in seconds. SIGHUP takes what can be taken live and names what needs a restart.

--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -1,7 +1,8 @@
-"""The command line."""
+"""The command line. What the platform's path does not need is imported only by the command that needs it."""
 
 from __future__ import annotations
 
+import importlib
 import logging
 import os
 import sys
@@ -11,28 +12,70 @@
 from hazelhollow import __version__, config
 from hazelhollow.net import routing, service
 
+LATER = {
+    "config": ("hazelhollow.operator.commands", "config"),
+}
 
-@click.group(help="A rate limiter that holds quotas by plan across a fleet of gateways.")
+
+class Commands(click.Group):
+    """A group, some of whose commands are found in modules that are not imported before they are asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *LATER])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in LATER:
+            return super().get_command(ctx, name)
+        module, attribute = LATER[name]
+        try:
+            command: click.Command = getattr(importlib.import_module(module), attribute)
+        except ModuleNotFoundError as error:
+            if (error.name or "").startswith("hazelhollow"):
+                raise
+            return _missing(name, error.name or "a library")
+        return command
+
+
+def _missing(name: str, library: str) -> click.Command:
+    """Stands for a command whose libraries this installation lacks, so that the others go on working."""
+
+    def explain() -> None:
+        _fail(f"'{name}' needs {library}: pip install -r requirements-all.txt")
+
+    return click.Command(name, callback=explain, help=f"(needs {library}, which is not installed)")
+
+
+@click.group(cls=Commands, help="A rate limiter that holds quotas by plan across a fleet of gateways.")
 def main() -> None:
     pass
 
 
 @main.command()
+@click.option("--operator", metavar="FILE", help="Our own settings (see `config --help`): the shared store, logs.")
 @click.option(
     "--log-level",
     type=click.Choice(["debug", "info", "warning", "error"]),
     default="info",
     show_default=True,
-    help="What goes to standard error.",
+    help="What goes to standard error; an operator file says it in its own words.",
 )
-def serve(log_level: str) -> None:
-    """Serve until SIGTERM, as the RELAY_ variables say. SIGHUP reads RELAY_CONFIG again, SIGUSR1 prints counters."""
-    logging.basicConfig(
-        level=log_level.upper(), stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
-    )
+def serve(operator: str | None, log_level: str) -> None:
+    """Serve until SIGTERM, as the RELAY_ variables say.
+
+    SIGHUP reads RELAY_CONFIG and the operator file again, SIGUSR1 prints the counters.
+    """
+    attached = None
+    if operator is not None:
+        from hazelhollow.operator import attach
+
+        attached = attach.open_file(operator)
+    else:
+        logging.basicConfig(
+            level=log_level.upper(), stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+        )
     told = _load()
     try:
-        service.serve(told, lambda: config.load(os.environ, again=True))
+        service.serve(told, lambda: config.load(os.environ, again=True), attached)
     except OSError as error:
         _fail(f"cannot listen: {error.strerror or error}")
 
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from typing import Protocol
 
 from hazelhollow import interface as api
 from hazelhollow.config import Config, ConfigError
@@ -15,7 +16,7 @@
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.acquirer import KEPT_SHARE, MEMORY_SHARE, Acquirer, Terms
 from hazelhollow.net.issuer import Issuers
-from hazelhollow.net.limiter import Limiter
+from hazelhollow.net.limiter import Decisions, Limiter
 from hazelhollow.net.peers import Peers
 from hazelhollow.net.routing import Table, Watch
 from hazelhollow.net.stats import Stats
@@ -29,15 +30,26 @@
 log = logging.getLogger(__name__)
 
 
+class Attachment(Protocol):
+    """What an operator file adds to a limiter; without one there is none, and nothing of it is imported."""
+
+    def decisions(self, inner: Decisions, settings: api.Settings, seed: int) -> Decisions: ...
+    def begin(self, service: Service) -> None: ...
+    def reload(self) -> None: ...
+
+
 class Service:
-    def __init__(self, config: Config, scheduler: sch.Scheduler) -> None:
+    def __init__(self, config: Config, scheduler: sch.Scheduler, attached: Attachment | None = None) -> None:
         self.scheduler, self.stats = scheduler, Stats()
         room = max(16, config.sockets - RESERVE)
         self.issuers = Issuers(
             scheduler, self.stats, config.connect_timeout, config.conn_idle, most_lines=room * 2 // 5
         )
-        gateway = Gateway(config.settings, config.seed)
-        self.limiter = Limiter(gateway, scheduler, self.issuers, self.stats, config.max_open)
+        decisions: Decisions = Gateway(config.settings, config.seed)
+        self.attached = attached
+        if attached:
+            decisions = attached.decisions(decisions, config.settings, config.seed)
+        self.limiter = Limiter(decisions, scheduler, self.issuers, self.stats, config.max_open)
         self.table = Table()
         if config.known is not None:
             self.limiter.told(self.table.apply(config.known, cached=True))
@@ -62,6 +74,8 @@
         self.leaving = False
 
     def start(self) -> None:
+        if self.attached:
+            self.attached.begin(self)
         self.scheduler.spawn_lasting(self.watch.run, "watch")
         if self.limiter.peers:
             self.scheduler.spawn_lasting(self.limiter.peers.run, "peers")
@@ -77,6 +91,8 @@
 
     def reload(self, reread: Callable[[], Config]) -> None:
         """Takes the addresses of the new file; clients, legs and budgets stay. A bad file changes nothing."""
+        if self.attached:
+            self.attached.reload()
         try:
             config = reread()
         except ConfigError as error:
@@ -105,10 +121,10 @@
         self.scheduler.stop()
 
 
-def serve(config: Config, reread: Callable[[], Config]) -> None:
+def serve(config: Config, reread: Callable[[], Config], attached: Attachment | None = None) -> None:
     """Until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 prints the counters."""
     scheduler = sch.Scheduler(sch.Clock())
-    service = Service(config, scheduler)
+    service = Service(config, scheduler, attached)
     inner, outer = socket.socketpair()
     for end in (inner, outer):
         end.setblocking(False)
--- /dev/null
+++ b/hazelhollow/operator/attach.py
@@ -0,0 +1,58 @@
+"""What an operator file switches on in a running limiter: its logs now, its subsystems as they are built."""
+
+from __future__ import annotations
+
+import structlog
+
+from hazelhollow import interface as api
+from hazelhollow.net.limiter import Decisions
+from hazelhollow.net.service import Service
+from hazelhollow.operator import load, logs, records
+from hazelhollow.operator.commands import fail
+from hazelhollow.operator.syntax import CueError
+
+log = structlog.get_logger(__name__)
+
+
+class Attached:
+    """One limiter's subsystems, from its start to its end. Every call comes from the limiter's own thread."""
+
+    def __init__(self, file: str, operator: records.Operator) -> None:
+        self.file, self.operator = file, operator
+
+    def decisions(self, inner: Decisions, settings: api.Settings, seed: int) -> Decisions:
+        """The decision module, with what stands before it."""
+        return inner
+
+    def begin(self, service: Service) -> None:
+        """The limiter is about to serve."""
+        log.info("operator file in use", file=self.file, store=self.operator.store is not None)
+
+    def reload(self) -> None:
+        """SIGHUP: takes what can be taken live and says what needs a restart. A bad file changes nothing."""
+        try:
+            new = load.load(self.file)
+        except CueError as error:
+            for trouble in error.troubles:
+                log.error("the operator file stays as it was", trouble=str(trouble))
+            return
+        live, later = load.changes(self.operator, new)
+        if later:
+            log.warning("these settings need a restart and stay as they were", settings=later)
+        self._take(new, live)
+
+    def _take(self, new: records.Operator, live: list[str]) -> None:
+        if any(path.startswith("log.") for path in live):
+            logs.configure(new.log)
+        self.operator = load.merged(self.operator, new)
+        log.info("operator file read again", taken=live)
+
+
+def open_file(file: str) -> Attached:
+    """Reads the file and sets up logs. Ends the program, with a line for each trouble, if it cannot be used."""
+    try:
+        operator = load.load(file)
+    except CueError as error:
+        fail(error)
+    logs.configure(operator.log)
+    return Attached(file, operator)
--- /dev/null
+++ b/hazelhollow/operator/commands.py
@@ -0,0 +1,81 @@
+"""`hazelhollow config`: what an operator file says, and what is wrong with it."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any, NoReturn
+
+import click
+import orjson
+
+from hazelhollow.operator import load
+from hazelhollow.operator.evaluate import mask, show
+from hazelhollow.operator.syntax import CueError
+
+BAD = 2  # exit status for a file that cannot be used
+
+
+@click.group("config")
+def config() -> None:
+    """Look at operator files: our own settings, in a subset of CUE.
+
+    An operator file switches on what the platform's JSON does not know, such as the shared store. Start from
+    deploy/operator.cue; hazelhollow/operator/schema.cue lists every setting with its limits and its default.
+    """
+
+
+@config.command("check")
+@click.argument("file")
+@click.option("--json", "as_json", is_flag=True, help="Print the troubles as a JSON list.")
+def check(file: str, as_json: bool) -> None:
+    """Say what is wrong with FILE, all of it at once.
+
+    Exit status 0: the file can be used. 2: it cannot; each trouble is one line with file, line, column, path, what was
+    found and what is allowed.
+    """
+    try:
+        load.load(file)
+    except CueError as error:
+        if as_json:
+            rows = [{"file": t.place.file, "line": t.place.line, "column": t.place.column, "path": t.path, "found": t.found,
+                     "allowed": t.allowed} for t in error.troubles]  # fmt: skip
+            click.echo(orjson.dumps(rows).decode())
+            sys.exit(BAD)
+        fail(error)
+    click.echo("[]" if as_json else f"{file}: good")
+
+
+@config.command("show")
+@click.argument("file")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON instead of CUE.")
+def show_values(file: str, as_json: bool) -> None:
+    """Print every value that FILE sets, defaults included; secrets are hidden.
+
+    What is printed is itself a good operator file, unless it hid something.
+    """
+    try:
+        value = mask(load.effective(load.text_of(file), file), load.SECRETS)
+    except CueError as error:
+        fail(error)
+    if as_json:
+        click.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
+    else:
+        click.echo("\n".join(_lines(value, 0)))
+
+
+def _lines(value: Any, depth: int) -> list[str]:
+    lines = []
+    for name, part in value.items():
+        label = "\t" * depth + name + ": "
+        if isinstance(part, dict):
+            lines += [label + "{", *_lines(part, depth + 1), "\t" * depth + "}"]
+        else:
+            lines.append(label + ("[" + ", ".join(map(show, part)) + "]" if isinstance(part, list) else show(part)))
+    return lines
+
+
+def fail(error: CueError) -> NoReturn:
+    """One line a trouble, and the exit status for bad input."""
+    for trouble in error.troubles:
+        click.echo(f"hazelhollow: {trouble}", err=True)
+    sys.exit(BAD)
--- /dev/null
+++ b/hazelhollow/operator/records.py
@@ -0,0 +1,63 @@
+"""The operator file's values as frozen records. Times are seconds."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+
+class Record(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """All of them are so."""
+
+
+class Log(Record, frozen=True):
+    format: Literal["json", "console"]
+    level: Literal["debug", "info", "warning", "error"]
+
+
+class Tls(Record, frozen=True):
+    ca_file: str
+    cert_file: str = ""
+    key_file: str = ""
+    server_name: str = ""
+
+
+class Lease(Record, frozen=True):
+    """`term` and `ahead` in seconds; `base_share` of each limit never enters the store."""
+
+    term: float
+    base_share: float
+    ahead: float
+
+
+class Presence(Record, frozen=True):
+    """Seconds between signs of life, and until one is void."""
+
+    every: float
+    term: float
+
+
+class Store(Record, frozen=True):
+    """`schema.cue` says what each is for; times in seconds."""
+
+    address: tuple[str, int]
+    database: int
+    prefix: str
+    call_timeout: float
+    connect_timeout: float
+    retry_least: float
+    retry_most: float
+    calls_waiting: int
+    hold: Literal["ceilings", "quotas", "both"]
+    plans: tuple[str, ...]
+    lease: Lease
+    presence: Presence
+    username: str = ""
+    password_file: str = ""
+    tls: Tls | None = None
+
+
+class Operator(Record, frozen=True):
+    log: Log
+    store: Store | None = None
--- /dev/null
+++ b/hazelhollow/operator/schema.cue
@@ -0,0 +1,55 @@
+// What an operator file may say. A file is unified with #Operator; what is not listed here is an error.
+// Durations are a number with ms, s, m or h. Paths are taken from where the program was started.
+package operator
+
+#Operator: {
+	log:    #Log
+	store?: #Store
+}
+
+#Log: {
+	format: *"json" | "console"
+	level:  *"info" | "debug" | "warning" | "error"
+}
+
+// A shared store that speaks RESP2, as Redis does.
+#Store: {
+	address:          #Address
+	database:         *0 | int & >=0 & <=15
+	username?:        string
+	password_file?:   string // its first line is the password
+	tls?:             #Tls
+	prefix:           *"hh" | =~"^[A-Za-z0-9_.-]{1,16}$" // of every key; fleets that share a store differ in it
+	call_timeout:     *"50ms" | #Duration // a call without its answer by then is given up
+	connect_timeout:  *"250ms" | #Duration
+	retry_least:      *"50ms" | #Duration // waits between attempts to connect double from here ...
+	retry_most:       *"2s" | #Duration // ... to here
+	calls_waiting:    *256 | int & >=1 & <=4096 // at once, on the one connection; what is beyond is not asked
+	hold:             *"ceilings" | "quotas" | "both" // the limits that are kept in the store
+	plans:            [...string] // that are kept there; empty: all that have such a limit
+	lease:            #Lease
+	presence:         #Presence
+}
+
+// How much of a customer's limit a limiter takes at a time.
+#Lease: {
+	term:       *"1500ms" | #Duration // a lease that is not renewed by then is void
+	base_share: *0.25 | number & >=0 & <=0.9 // of each limit, divided evenly and never in the store
+	ahead:      *"800ms" | #Duration // of use, at the customer's rate here, that a limiter holds
+}
+
+// Limiters show the store that they are there; the share of one that does not is kept for it.
+#Presence: {
+	every: *"500ms" | #Duration
+	term:  *"1200ms" | #Duration
+}
+
+#Tls: {
+	ca_file:      string
+	cert_file?:   string
+	key_file?:    string
+	server_name?: string
+}
+
+#Address:  =~"^[A-Za-z0-9.-]+:[0-9]{1,5}$"
+#Duration: =~"^[0-9]{1,6}(ms|s|m|h)$"
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -185,3 +185,11 @@
             assert client.recv(99) == b""
         assert program.wait(30) == 0
         assert program.stderr.read().count('"accepted":1') == 2  # at the second SIGUSR1 and at the end
+
+
+def test_the_platforms_path_imports_nothing_of_the_operators() -> None:
+    """Off means: not imported. The libraries of the operator file would cost each limiter some 10 MB."""
+    code = "import sys, hazelhollow.cli, hazelhollow.net.service; print(*sys.modules)"
+    names = subprocess.run([sys.executable, "-c", code], text=True, capture_output=True, timeout=60).stdout.split()
+    foreign = ("lark", "msgspec", "structlog", "hiredis", "lupa", "ssl", "hazelhollow.operator", "hazelhollow.store", "hazelhollow.standins")
+    assert "hazelhollow.decide" in names and not [n for n in names if n.startswith(foreign)]
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,235 @@
+"""The operator file: what is read, what is said of what cannot be, and that no bytes do worse than that."""
+
+from __future__ import annotations
+
+import io
+import logging
+from pathlib import Path
+
+import orjson
+import pytest
+import structlog
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import settings as hyp
+from hypothesis import strategies as st
+
+from hazelhollow.cli import main
+from hazelhollow.operator import attach, load, logs, records
+from hazelhollow.operator.evaluate import evaluate
+from hazelhollow.operator.syntax import MOST_BYTES, CueError, parse
+
+SCHEMA = b"""package s
+#Op: {log: #Log, store?: #Store, n: *3 | int & >=1 & <=64, kind: *#A | #B}
+#A: {is: "a", x: *1 | int}
+#B: {is: "b", y: string}
+#Log: {format: *"json" | "console"}
+#Time: =~"^[0-9]+(ms|s)$"
+#Store: {address: =~"^[^:]+:[0-9]+$", wait: *"50ms" | #Time, plans: [...string], lease: #Lease}
+#Lease: {share: *1.5 | number & >0, odd?: bool, level!: int}
+"""
+
+
+def read(text: str) -> object:
+    return evaluate(parse(text.encode(), "f.cue"), parse(SCHEMA, "schema.cue"), "#Op")
+
+
+def plain(text: str) -> object:
+    return evaluate(parse(text.encode(), "f.cue"))
+
+
+def troubles(text: str, schema: bool = True) -> list[str]:
+    with pytest.raises(CueError) as caught:
+        read(text) if schema else plain(text)
+    return [str(t) for t in caught.value.troubles]
+
+
+DEFAULT = {"log": {"format": "json"}, "n": 3, "kind": {"is": "a", "x": 1}}
+
+
+@pytest.mark.parametrize(
+    "text, changes",
+    [
+        ("", {}),
+        ("// nothing\n\n", {}),
+        ("package x\nn: 64\n", {"n": 64}),
+        ("n: _m\n_m: 7", {"n": 7}),
+        ('log: format: "console"', {"log": {"format": "console"}}),
+        ('kind: is: "b"\nkind: y: "z"', {"kind": {"is": "b", "y": "z"}}),
+        ("n: >=4 & 5", {"n": 5}),
+        ('_a: "h:2"\nstore: {address: _a, plans: ["p",\n "q",\n], lease: level: 2, wait: _t.long}\n_t: long: "3s"',
+         {"store": {"address": "h:2", "wait": "3s", "plans": ["p", "q"], "lease": {"share": 1.5, "level": 2}}}),
+    ],
+)  # fmt: skip
+def test_a_file_is_unified_with_its_definition(text: str, changes: dict[str, object]) -> None:
+    assert read(text) == {**DEFAULT, **changes}
+
+
+@pytest.mark.parametrize(
+    "text, value",
+    [
+        ("#D: {x: int, y: x}\nv: #D & {x: 3}\nz: v.y", {"v": {"x": 3, "y": 3}, "z": 3}),
+        ("x: *1 | 2\ny: x\ny: 2", {"x": 1, "y": 2}),
+        ("a: 10K\nb: 1.5Ki\nc: 1_000\nd: 1e3\n\"e f\": -3\ng?: 3", {"a": 10000, "b": 1536, "c": 1000, "d": 1000.0, "e f": -3}),
+        ("g?: 3\ng: int", {"g": 3}),
+        ("w: [1, 2, ...int]\nw: [_, _, 4]", {"w": [1, 2, 4]}),
+        ('s: "\\u00e4\\t\\"\\\\"', {"s": 'ä\t"\\'}),
+        ("a: {b: c: 1}\na: b: d: true", {"a": {"b": {"c": 1, "d": True}}}),
+        ("l: [...{k: *1 | int}]\nl: [{}, {k: 2}]", {"l": [{"k": 1}, {"k": 2}]}),
+        ("#L: {v: int, next?: #L}\nl: #L & {v: 1, next: v: 2}", {"l": {"v": 1, "next": {"v": 2}}}),
+        ("least: 3\na: >=least & 3", {"least": 3, "a": 3}),
+        ("a: {b: 1}\nc: {a: 2, d: a}", {"a": {"b": 1}, "c": {"a": 2, "d": 2}}),  # the innermost is meant
+        ("a: null\nb: (1 | *2) & >1", {"a": None, "b": 2}),
+    ],
+)
+def test_values_are_those_of_cue(text: str, value: object) -> None:
+    assert plain(text) == value
+
+
+@pytest.mark.parametrize(
+    "text, expected",
+    [
+        ("n: 99", ["f.cue:1:4: n: 99 is not allowed here; allowed: *3 | int & >=1 & <=64"]),
+        ('n: "3"', ['f.cue:1:4: n: "3" is not allowed here; allowed: *3 | int & >=1 & <=64']),
+        ("lgo: 1", ["f.cue:1:1: lgo: there is no such field, is 'log' meant?; allowed: kind, log, n, store"]),
+        ('store: {lease: level: 1}', ['f.cue:1:1: store.address: is missing; allowed: =~"^[^:]+:[0-9]+$"']),
+        ('store: {address: "a:1"}', ["f.cue:1:1: store.lease.level: is missing; allowed: int"]),
+        ('store: {address: "a:1", wait: "5x", plans: ["x", 3]\nlease: {share: -1, zz: 3, level: 1}}\nn: 0',
+         ['f.cue:1:31: store.wait: "5x" is not allowed here; allowed: *"50ms" | #Time',
+          "f.cue:1:50: store.plans[1]: 3 is not allowed here; allowed: string",
+          "f.cue:2:16: store.lease.share: -1 is not allowed here; allowed: *1.5 | number & >0",
+          "f.cue:2:20: store.lease.zz: there is no such field; allowed: level, odd, share",
+          "f.cue:3:4: n: 0 is not allowed here; allowed: *3 | int & >=1 & <=64"]),
+    ],
+)  # fmt: skip
+def test_all_troubles_are_told_with_place_path_and_what_is_allowed(text: str, expected: list[str]) -> None:
+    assert troubles(text) == expected
+
+
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        ("a: {", "f.cue:1:4: the end of the file"), ("a: 1 b: 2", "f.cue:1:6: 'b'"), ("a: @", "f.cue:1:4: '@'"),
+        ("a: b", "f.cue:1:4: a: there is no 'b'"), ("a: b\nb: a", "f.cue:1:4: a: is no definite value"),
+        ("a: 1 | 2", "several values fit"), ("a: 1\na: 2", "f.cue:2:4: a: 2 is not allowed here; allowed: 1"),
+        ('a: "\\(x)"', "the escape"), ('a: =~"(a+)+$" & "aaaa"', "repeats within repeats"), ('a: =~"(" & "x"', "the pattern"),
+        ("#L: {next: #L}\nl: #L", "too much"), ("a: " + "[" * 40 + "]" * 40, "at most 32 brackets deep"),
+        ("a: 1234567890123456789", "a number of 19 digits"), ("_: 1", "'_' cannot be a label"), ("a: [1]\na: [1, 2]", "a list of 2 values"),
+        ("#A: {a: int}\nb: #A & {a: 1, c: 2}", "b.c: there is no such field"), ("a: >1 & 1", "a: 1 is not allowed"), ("a: b.c\nb: 1", "there is no b.c"),
+        ("a: 1 & 1.0", "a: 1 & 1.0 is not allowed here"), ("package 1", "'1' cannot stand here"),
+    ],
+)  # fmt: skip
+def test_what_cannot_be_read_is_named(text: str, word: str) -> None:
+    assert any(word in trouble for trouble in troubles(text, schema=False))
+
+
+@pytest.mark.parametrize("data, word", [(b"a: 1\nb: \xff", "f.cue:2:4: a byte"), (b" " * (MOST_BYTES + 1), "at most")])
+def test_bytes_that_are_no_text_are_named(data: bytes, word: str) -> None:
+    with pytest.raises(CueError, match=word):
+        parse(data, "f.cue")
+
+
+PIECES = ["a", "b", "#D", "_h", ":", "?", "{", "}", "[", "]", "...", ",", "\n", "|", "*", "&", ">=", "=~", "!=", "1", "-2.5", '"x"',
+          "int", "string", "number", "_", "(", ")", ".", "true", "//c\n", "null", "package "]  # fmt: skip
+
+
+@given(st.one_of(st.binary(max_size=200), st.lists(st.sampled_from(PIECES), max_size=40).map(lambda p: "".join(p).encode())))
+def test_any_bytes_give_a_value_or_clear_troubles(data: bytes) -> None:
+    try:
+        evaluate(parse(data, "f.cue"), parse(SCHEMA, "schema.cue"), "#Op")
+    except CueError as error:
+        assert error.troubles and all(t.found and t.place.line > 0 for t in error.troubles)
+
+
+@hyp(max_examples=15)
+@given(st.integers(2, 12), st.integers(1, 40))
+def test_work_is_bounded_however_often_things_are_referred_to(width: int, depth: int) -> None:
+    lines = ["x0: {v: 1}"] + [f"x{i}: {{{', '.join(f'y{k}: x{i - 1}' for k in range(width))}}}" for i in range(1, depth)]
+    try:
+        plain("\n".join(lines))
+    except CueError as error:
+        assert "too much" in str(error)
+
+
+# Our own schema
+
+
+def test_the_example_file_is_good_and_what_show_prints_is_the_same_file() -> None:
+    example = load.load("deploy/operator.cue")
+    assert example.store and example.store.call_timeout == 0.05 and example.store.lease.term == 1.5
+    shown = CliRunner().invoke(main, ["config", "show", "deploy/operator.cue"]).output
+    assert load.read(shown.encode(), "shown.cue") == example
+
+
+@pytest.mark.parametrize(
+    "text, word",
+    [('store: {address: "a:99999"}', "x.cue:1:18: store.address: port 99999"),
+     ('store: {address: "a:1", lease: {term: "100ms"}}', "at least four times store.call_timeout"),
+     ('store: {address: "a:1", presence: {term: "600ms"}}', "twice store.presence.every"),
+     ('store: {address: "a:1", call_timeout: "0s"}', "more than nothing"),
+     ('store: {address: "a:1", retry_most: "1ms"}', "at least store.retry_least")],
+)  # fmt: skip
+def test_what_no_field_shows_by_itself_is_checked_too(text: str, word: str) -> None:
+    with pytest.raises(CueError, match=word):
+        load.read(text.encode(), "x.cue")
+
+
+def test_the_commands_say_what_is_wrong_and_end_with_a_status_for_scripts(tmp_path: Path) -> None:
+    file = tmp_path / "o.cue"
+    file.write_text("log: level: 3\nstore: {}\n")
+    run = CliRunner().invoke(main, ["config", "check", str(file), "--json"])
+    assert run.exit_code == 2 and [row["path"] for row in orjson.loads(run.output)] == ["log.level", "store.address"]
+    run = CliRunner().invoke(main, ["config", "check", str(file)])
+    assert run.exit_code == 2 and run.output.count("hazelhollow: ") == 2
+    assert CliRunner().invoke(main, ["config", "check", str(tmp_path / "none")]).exit_code == 2
+    file.write_text("")
+    assert CliRunner().invoke(main, ["config", "check", str(file)]).exit_code == 0
+
+
+def operator(text: str) -> records.Operator:
+    return load.read(text.encode(), "x.cue")
+
+
+def test_of_a_changed_file_the_live_part_is_taken_and_the_rest_named() -> None:
+    old = operator('store: {address: "a:1", prefix: "p"}')
+    new = operator('log: level: "debug"\nstore: {address: "a:2", prefix: "q", tls: ca_file: "c"}')
+    live, later = load.changes(old, new)
+    assert {"log.level", "store.address", "store.tls.ca_file"} <= set(live) and all("tls" in p for p in live[2:])
+    assert later == ["store.prefix"]
+    taken = load.merged(old, new)
+    assert taken.store and (taken.store.address, taken.store.prefix, taken.log.level) == (("a", 2), "p", "debug")
+    assert load.changes(old, operator("")) == ([], ["store"])
+    assert load.merged(old, operator("")).store == old.store
+
+
+def test_a_reload_takes_a_good_file_and_a_bad_one_changes_nothing(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    file = tmp_path / "o.cue"
+    file.write_text("")
+    attached = attach.Attached(str(file), load.load(str(file)))
+    handlers = logging.getLogger().handlers[:]
+    try:
+        file.write_text('log: level: "wrong"')
+        attached.reload()
+        assert str(attached.operator.log.level) == "info"
+        file.write_text('log: level: "warning"')
+        attached.reload()
+        assert attached.operator.log.level == "warning"
+    finally:
+        logging.getLogger().handlers = handlers
+        structlog.reset_defaults()
+
+
+def test_events_are_json_lines_whether_they_come_by_structlog_or_by_logging() -> None:
+    root, sink = logging.getLogger(), io.StringIO()
+    handlers, level = root.handlers[:], root.level
+    try:
+        logs.configure(records.Log(format="json", level="info"), sink)
+        structlog.get_logger("here").info("began", port=1)
+        logging.getLogger("there").warning("old %s", "way")
+        logging.getLogger("there").debug("not said")
+    finally:
+        root.handlers, root.level = handlers, level
+        structlog.reset_defaults()
+    first, second = map(orjson.loads, sink.getvalue().splitlines())
+    assert (first["event"], first["port"], first["logger"]) == ("began", 1, "here")
+    assert (second["event"], second["level"], second["logger"]) == ("old way", "warning", "there")
