--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -14,6 +14,7 @@
 
 LATER = {
     "config": ("hazelhollow.operator.commands", "config"),
+    "standin": ("hazelhollow.standins.commands", "standin"),
 }
 
 
--- /dev/null
+++ b/hazelhollow/standins/commands.py
@@ -0,0 +1,71 @@
+"""`hazelhollow standin`: outside systems to try things against, on this machine only."""
+
+from __future__ import annotations
+
+import ipaddress
+import signal
+import sys
+from pathlib import Path
+
+import click
+
+from hazelhollow import config
+from hazelhollow.net import scheduler as sch
+from hazelhollow.operator.commands import fail
+from hazelhollow.operator.syntax import CueError
+from hazelhollow.standins.redis import faults, server
+
+POLL = 0.05  # seconds between looks at whether a signal has come
+
+
+@click.group("standin")
+def standin() -> None:
+    """Run a stand-in for an outside system, for trials and tests.
+
+    Stand-ins bind to loopback only and forget everything at their end.
+    """
+
+
+@standin.command("redis")
+@click.option("--listen", default="127.0.0.1:0", show_default=True, metavar="HOST:PORT", help="Port 0: any that is free.")
+@click.option("--seed", default=0, show_default=True, help="Of all that is drawn: faults, run ids.")
+@click.option("--faults", "file", metavar="FILE", help="What goes wrong and when; see hazelhollow/standins/redis/faults.cue.")
+@click.option("--password", default="", help="Clients must give it by AUTH or HELLO.")
+@click.option("--shards", default=1, show_default=True, type=click.IntRange(1, 64), help="More than one: a cluster, a port each.")
+def redis(listen: str, seed: int, file: str | None, password: str, shards: int) -> None:
+    """A store that speaks RESP2 as Redis does, until SIGTERM or Ctrl-C.
+
+    Prints `ready HOST:PORT` for each shard once it can be reached. While it runs, any client can say
+    `STANDIN FAULT slow delay 200ms share 0.1 lasts 10s`, `STANDIN CLEAR` and `STANDIN STATS`.
+    """
+    try:
+        host, port = config.address(listen, least_port=0)
+        if not ipaddress.ip_address(host).is_loopback:
+            raise ValueError(f"'{host}' is not a loopback address")
+        plan = faults.read_plan(Path(file).read_bytes(), file) if file else []
+    except CueError as error:
+        fail(error)
+    except (OSError, ValueError) as error:
+        click.echo(f"hazelhollow: {error}", err=True)
+        sys.exit(2)
+    scheduler = sch.Scheduler(sch.Clock())
+    try:
+        servers = server.start(scheduler, (host, port), seed, password, plan, shards)
+    except OSError as error:
+        click.echo(f"hazelhollow: cannot listen at {listen}: {error.strerror or error}", err=True)
+        sys.exit(2)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: scheduler.stop())
+    for one in servers:
+        click.echo(f"ready {one.address[0]}:{one.address[1]}")
+    sys.stdout.flush()
+    scheduler.spawn_lasting(lambda: _wake(scheduler), "wake")
+    scheduler.run()
+    for one in servers:
+        one.close()
+
+
+def _wake(scheduler: sch.Scheduler) -> None:
+    """A signal's handler runs between turns: the loop must not sleep for long."""
+    while True:
+        scheduler.sleep(POLL)
--- /dev/null
+++ b/hazelhollow/standins/redis/server.py
@@ -0,0 +1,105 @@
+"""The stand-in on real sockets: a thin driver on our scheduler, one `Station` a listening address."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net import stream
+from hazelhollow.net.ending import Ending
+from hazelhollow.standins.redis import faults
+from hazelhollow.standins.redis.station import Cluster, Session, Station
+
+MOST_OUT = 16 * 1024 * 1024
+LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+class Server:
+    """One listening socket and its station."""
+
+    def __init__(self, scheduler: sch.Scheduler, station: Station, listen: tuple[str, int]) -> None:
+        self.scheduler, self.station = scheduler, station
+        self._sock = socket.create_server(listen, backlog=256)
+        self._sock.setblocking(False)
+        self.address: tuple[str, int] = self._sock.getsockname()[:2]
+        self._streams: dict[int, stream.Stream] = {}
+        self._timer: sch.Timer | None = None
+
+    def start(self) -> None:
+        self.scheduler.spawn_lasting(self._accept, "stand-in")
+        self.advance()
+
+    def _accept(self) -> None:
+        while True:
+            self.scheduler.wait(self._sock.fileno(), sch.READ)
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                continue
+            session = self.station.connect()
+            if session is None:  # down: as near to a refusal as an open port can come
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+                sock.close()
+                continue
+            self._streams[session.id] = driver = stream.Stream(self.scheduler, sock, MOST_OUT)
+            self.scheduler.spawn(self._tend, session, driver, name="stand-in connection")
+
+    def _tend(self, session: Session, driver: stream.Stream) -> None:
+        while driver.ending is None:
+            driver.wait()
+            data = driver.read(stream.CHUNK)
+            if isinstance(data, Ending):
+                driver.close(data)
+            elif data:
+                session.feed(data)
+                self.advance()
+        self._streams.pop(session.id, None)
+        self.station.disconnect(session)
+
+    def advance(self) -> None:
+        """Does what the station has to do now and sees to it that it is called when it has more."""
+        for out in self.station.turn():
+            driver = self._streams.get(out.session.id)
+            if driver is None:
+                continue
+            if out.data:
+                driver.write(out.data)
+            if out.cut:
+                driver.flush()
+                driver.close(Ending.SHUTDOWN)
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        due = self.station.next_at()
+        if due is not None:
+            self._timer = self.scheduler.at(due, self.advance)
+
+    def close(self) -> None:
+        for driver in list(self._streams.values()):
+            driver.close(Ending.SHUTDOWN)
+        self.scheduler.forget(self._sock.fileno())
+        self._sock.close()
+
+
+def start(
+    scheduler: sch.Scheduler,
+    listen: tuple[str, int],
+    seed: int = 0,
+    password: str = "",
+    plan: list[faults.Fault] | None = None,
+    shards: int = 1,
+) -> list[Server]:
+    """So many servers, at ports in a row from `listen` or, with port 0, at any. More than one are a cluster."""
+    host, port = listen
+    servers = []
+    for number in range(shards):
+        station = Station(scheduler.clock, seed + number, password, plan)
+        servers.append(Server(scheduler, station, (host, port + number if port else 0)))
+    if shards > 1:
+        ids = [server.station.engine.run_id for server in servers]
+        for number, server in enumerate(servers):
+            server.station.cluster = Cluster([s.address for s in servers], number, ids)
+    for server in servers:
+        server.start()
+    return servers
