Redis as shared store: limits kept by leases, with the link, the books and seeded runs

Quotas are gossiped and so passed by what is on its way; ceilings are divided evenly. At sites with a store both can be exact, if the store's bad moments are survived and no request waits for it.

Limits have a base (divided evenly, nobody is asked) and a pool in the store, from which limiters lease units ahead by one atomic script. Level and leases together never exceed the burst, so unspent leases cannot let it be had twice. Sequence numbers, what is held told with each call, lesser of two clocks, records not believed after a restart, a closed spell as long as any old lease. Cut off, a limiter takes its even share only when nobody counts it as present.

--- a/deploy/operator.cue
+++ b/deploy/operator.cue
@@ -8,5 +8,5 @@
 store: {
 	address:      "127.0.0.1:6390"
 	call_timeout: "50ms"
-	hold:         "ceilings"
+	hold:         "both"
 }
--- /dev/null
+++ b/hazelhollow/bench/commands.py
@@ -0,0 +1,87 @@
+"""`hazelhollow bench`: what the product's own modules do in seeded runs, with figures for scripts."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+import orjson
+
+from hazelhollow.bench import cpu, store
+
+
+@click.group("bench")
+def bench() -> None:
+    """Seeded runs in virtual time. The same seed gives the same figures, on any machine."""
+
+
+@bench.command("store")
+@click.option("--runs", default=100, show_default=True, type=click.IntRange(1, 10_000), help="Of each kind, by seeds in a row.")
+@click.option("--seed", default=1, show_default=True, help="Of the first run.")
+@click.option("--limiters", default=3, show_default=True, type=click.IntRange(1, 200))
+@click.option("--seconds", default=40.0, show_default=True, type=click.FloatRange(12.0, 600.0), help="Of virtual time, each run.")
+@click.option("--faults", multiple=True, type=click.Choice([*store.KINDS, "all"]), help="Kinds; several may be given. [default: all]")
+@click.option("--hold", default="both", show_default=True, type=click.Choice(["both", "ceilings", "quotas"]), help="The limits that the store keeps.")
+@click.option("--plans", default="", metavar="A,B", help="Whose limits it keeps. [default: those with a ceiling]")
+@click.option("--uneven", is_flag=True, help="Nine tenths of a customer's requests come through one limiter, another every few seconds.")
+@click.option("--processes", default=0, type=click.IntRange(0, 256), help="At once. [default: as many as there are cores]")
+@click.option("--json", "file", metavar="FILE", help="Write the figures there; '-' prints them.")
+def store_(
+    runs: int, seed: int, limiters: int, seconds: float, faults: tuple[str, ...], hold: str, plans: str, uneven: bool,
+    processes: int, file: str | None,
+) -> None:  # fmt: skip
+    """Month-end load on limiters that keep their limits in a store, against the stand-in.
+
+    For each kind of fault so many runs, and as many with even shares and with no store for comparison. A run is broken if
+    any customer's limit was passed by more than 10% of its burst or one largest request, and 150 ms of its rate. Exit status
+    1: some run was broken.
+    """
+    kinds = [k for k in store.KINDS if k != store.EVEN] if not faults or "all" in faults else list(dict.fromkeys(faults))
+    names = tuple(name for name in plans.split(",") if name)
+    jobs = [store.Job(n, kind, limiters, seconds, hold, kind != store.TODAY, names, uneven)
+            for kind in [*kinds, store.EVEN, store.TODAY] for n in range(seed, seed + runs)]  # fmt: skip
+    results = []
+    try:
+        for result in store.play_all(jobs, processes or os.cpu_count() or 1):
+            results.append(result)
+            if sys.stderr.isatty():
+                click.echo(f"\r{len(results)} of {len(jobs)} runs, {sum(r.broken for r in results)} broken", nl=False, err=True)
+    except KeyboardInterrupt:
+        click.echo(f"\nstopped after {len(results)} of {len(jobs)} runs; no figures", err=True)
+        sys.exit(130)
+    figures = store.summary(results)
+    if file == "-":
+        click.echo(orjson.dumps(figures, option=orjson.OPT_INDENT_2).decode())
+    elif file:
+        Path(file).write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2) + b"\n")
+    else:
+        for name, value in figures.items():
+            if name != "by_fault":
+                click.echo(f"{name:40} {value}")
+        for kind, row in figures["by_fault"].items():
+            click.echo(f"  {kind:14} broken {row['broken']:3}  over {row['worst_overshoot_share']:7.4f}  calls a request "
+                       f"{row['calls_per_request']:.3f}  refused with room {row['refused_with_room_share']:.4f}")  # fmt: skip
+    sys.exit(1 if figures["broken"] else 0)
+
+
+@bench.command("cpu")
+@click.option("--pairs", default=5, show_default=True, type=click.IntRange(1, 100), help="Of runs, without the store and with it in turn.")
+@click.option("--requests", default=8000, show_default=True, type=click.IntRange(160, 1_000_000), help="In each run.")
+@click.option("--json", "file", metavar="FILE", help="Write the figures there; '-' prints them.")
+def cpu_(pairs: int, requests: int, file: str | None) -> None:
+    """CPU a request of a limiter on sockets, with a store and without. Needs a quiet machine: only the ratio counts."""
+    rows = []
+    for row in cpu.compare(pairs, requests):
+        rows.append(row)
+        click.echo(f"{len(rows)} of {pairs}: {row['without_us']:.0f} and {row['with_us']:.0f} µs, ratio {row['ratio']:.3f}", err=True)
+    _put(cpu.summary(rows), file)
+
+
+def _put(figures: dict[str, object], file: str | None) -> None:
+    text = orjson.dumps(figures, option=orjson.OPT_INDENT_2)
+    if file and file != "-":
+        Path(file).write_bytes(text + b"\n")
+    else:
+        click.echo(text.decode())
--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -13,6 +13,8 @@
 from hazelhollow.net import routing, service
 
 LATER = {
+    "ask": ("hazelhollow.ask", "ask"),
+    "bench": ("hazelhollow.bench.commands", "bench"),
     "config": ("hazelhollow.operator.commands", "config"),
     "standin": ("hazelhollow.standins.commands", "standin"),
 }
--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -98,6 +98,8 @@
             self._list(event)
         elif isinstance(event, api.ClientGone):
             self.end(event.id)
+        elif isinstance(event, api.Allowance):
+            self._allow(event)
         return self.actions
 
     # Budgets
@@ -119,12 +121,29 @@
         account.totals.turn(self.period)
         return account
 
+    def _allow(self, event: api.Allowance) -> None:
+        """A limit kept elsewhere is what is told right before the request: neither rate nor share nor peers change it."""
+        plan = self.plans.get(event.plan_name)
+        if plan is None:
+            return
+        spread = max(1, min(event.spread, self.settings.gateways))
+        account = self._account(self._key(event.customer), plan, event.first_gateway, spread)
+        if event.ceiling is not None:
+            account.ceiling.most, account.ceiling.level = plan.ceiling_burst, event.ceiling
+            account.ceiling.at = self.now
+        if event.quota is not None:
+            account.budget.level, account.kept = event.quota, True
+
+    @staticmethod
+    def _key(customer: str) -> str:
+        return gossip.base36(crc32(customer.encode()) % 36**5)
+
     def _request(self, event: api.Request) -> None:
         kind, plan = self.classes.get(event.class_name), self.plans.get(event.plan_name)
         if kind is None or plan is None or event.units <= 0 or event.patience <= 0:
             self.actions.append(api.Refuse(event.id))
             return
-        key = gossip.base36(crc32(event.customer.encode()) % 36**5)
+        key = self._key(event.customer)
         spread = max(1, min(event.spread, self.settings.gateways))
         account = self._account(key, plan, event.first_gateway, spread)
         account.used = self.now
@@ -169,7 +188,7 @@
         # What a large set was told is soon old: as the level falls fewer are let in, by chance, so that it
         # settles above nothing, where being a little wrong lets in a few more or less and none beyond.
         heard = account.totals.heard_rate(self.now - (self.period - 1) * PERIOD)
-        reserve = UNHEARD * heard + (RESERVE * plan.burst * self.random.random() if account.telling else 0.0)
+        reserve = 0.0 if account.kept else UNHEARD * heard + (RESERVE * plan.burst * self.random.random() if account.telling else 0.0)
         room = not plan.open_limit or self._may_open(account, plan.open_limit, heard)
         return room and (not plan.rate or account.budget.level >= held.event.units + reserve)
 
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -169,7 +169,20 @@
     total: float
 
 
-Event = Union[Servers, Request, Started, Outcome, ClientGone, Timer, ProbeResult, PeerMessage, Counted]
+@dataclass(frozen=True)
+class Allowance:
+    """Comes right before a request of a customer whose limits are kept elsewhere: what this gateway may let in of each,
+    in units. Nothing for a limit that the gateway keeps itself."""
+
+    customer: str
+    plan_name: str
+    first_gateway: int
+    spread: int
+    quota: float | None = None
+    ceiling: float | None = None
+
+
+Event = Union[Servers, Request, Started, Outcome, ClientGone, Timer, ProbeResult, PeerMessage, Counted, Allowance]
 
 
 @dataclass(frozen=True)
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -33,7 +33,7 @@
 class Attachment(Protocol):
     """What an operator file adds to a limiter; without one there is none, and nothing of it is imported."""
 
-    def decisions(self, inner: Decisions, settings: api.Settings, seed: int) -> Decisions: ...
+    def decisions(self, inner: Decisions, settings: api.Settings, seed: int, now: float) -> Decisions: ...
     def begin(self, service: Service) -> None: ...
     def reload(self) -> None: ...
 
@@ -48,7 +48,7 @@
         decisions: Decisions = Gateway(config.settings, config.seed)
         self.attached = attached
         if attached:
-            decisions = attached.decisions(decisions, config.settings, config.seed)
+            decisions = attached.decisions(decisions, config.settings, config.seed, scheduler.clock())
         self.limiter = Limiter(decisions, scheduler, self.issuers, self.stats, config.max_open)
         self.table = Table()
         if config.known is not None:
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -21,6 +21,7 @@
         self.tables = self.watches_lost = 0  # routing
         self.told = self.heard = self.junk = self.untold = 0  # peers
         self.errors = 0
+        self.store: dict[str, dict[str, Any]] = {}  # the shared store, where an operator file has one
 
     def text(self) -> str:
         values: dict[str, Any] = {}
--- a/hazelhollow/operator/attach.py
+++ b/hazelhollow/operator/attach.py
@@ -5,11 +5,16 @@
 import structlog
 
 from hazelhollow import interface as api
+from hazelhollow.gossip import base36
 from hazelhollow.net.limiter import Decisions
 from hazelhollow.net.service import Service
 from hazelhollow.operator import load, logs, records
 from hazelhollow.operator.commands import fail
 from hazelhollow.operator.syntax import CueError
+from hazelhollow.store.books import Books
+from hazelhollow.store.driver import Driver
+from hazelhollow.store.exchange import Exchange
+from hazelhollow.store.keeping import Keeping
 
 log = structlog.get_logger(__name__)
 
@@ -19,14 +24,31 @@
 
     def __init__(self, file: str, operator: records.Operator) -> None:
         self.file, self.operator = file, operator
+        self.books: Books | None = None
+        self.driver: Driver | None = None
+        self._seed = 0
 
-    def decisions(self, inner: Decisions, settings: api.Settings, seed: int) -> Decisions:
+    def decisions(self, inner: Decisions, settings: api.Settings, seed: int, now: float) -> Decisions:
         """The decision module, with what stands before it."""
-        return inner
+        terms = self.operator.store
+        if terms is None:
+            return inner
+        self.books = Books(settings, terms, base36(int(now * 1000)), now)
+        self._seed = seed
+        return Keeping(inner, self.books, self._pump)
+
+    def _pump(self) -> None:
+        if self.driver:
+            self.driver.pump()
 
     def begin(self, service: Service) -> None:
         """The limiter is about to serve."""
         log.info("operator file in use", file=self.file, store=self.operator.store is not None)
+        if self.books and self.operator.store:
+            exchange = Exchange(self.books, self.operator.store, self._seed)
+            self.driver = Driver(service.scheduler, exchange)
+            service.stats.store = {"books": self.books.counts, "link": exchange.counts}
+            self.driver.start()
 
     def reload(self) -> None:
         """SIGHUP: takes what can be taken live and says what needs a restart. A bad file changes nothing."""
@@ -45,6 +67,8 @@
         if any(path.startswith("log.") for path in live):
             logs.configure(new.log)
         self.operator = load.merged(self.operator, new)
+        if self.driver and self.operator.store:
+            self.driver.change(self.operator.store)  # the password and key files may have changed, if nothing else
         log.info("operator file read again", taken=live)
 
 
--- a/hazelhollow/operator/schema.cue
+++ b/hazelhollow/operator/schema.cue
@@ -25,8 +25,8 @@
 	retry_least:      *"50ms" | #Duration // waits between attempts to connect double from here ...
 	retry_most:       *"2s" | #Duration // ... to here
 	calls_waiting:    *256 | int & >=1 & <=4096 // at once, on the one connection; what is beyond is not asked
-	hold:             *"ceilings" | "quotas" | "both" // the limits that are kept in the store
-	plans:            [...string] // that are kept there; empty: all that have such a limit
+	hold:             *"both" | "ceilings" | "quotas" // the limits that are kept in the store
+	plans:            [...string] // whose limits are kept there; empty: those that have a ceiling
 	lease:            #Lease
 	presence:         #Presence
 }
@@ -35,7 +35,7 @@
 #Lease: {
 	term:       *"1500ms" | #Duration // a lease that is not renewed by then is void
 	base_share: *0.25 | number & >=0 & <=0.9 // of each limit, divided evenly and never in the store
-	ahead:      *"800ms" | #Duration // of use, at the customer's rate here, that a limiter holds
+	ahead:      *"1200ms" | #Duration // of use, at the customer's rate here, that a limiter holds
 }
 
 // Limiters show the store that they are there; the share of one that does not is kept for it.
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -94,6 +94,7 @@
 
     __slots__ = (
         "plan", "used", "open", "budget", "told", "telling", "ceiling", "totals", "theirs", "first", "spread", "hubs",
+        "kept",
     )  # fmt: skip
 
     def __init__(self, plan: api.Plan, level: float, born: float, now: float, whole: bool) -> None:
@@ -104,6 +105,7 @@
         # have spent it.
         self.ceiling, self.totals = Store(0.0, 0.0, plan.ceiling_burst if whole else 0.0, born), Totals(0)
         self.theirs: dict[int, tuple[float, int]] = {}  # when peers told how many requests they had open
+        self.kept = False  # its quota is kept elsewhere: what peers charge is counted there
         self.first, self.spread = 0, 0  # the set, once a request or a charge has named it
         self.hubs: list[int] = []  # those of the set that hear every charge
 
--- /dev/null
+++ b/hazelhollow/store/driver.py
@@ -0,0 +1,125 @@
+"""The thin driver between the exchange with the store and a socket: it connects, reads, writes and keeps one timer."""
+
+from __future__ import annotations
+
+import ssl
+from pathlib import Path
+
+import structlog
+
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net import stream
+from hazelhollow.net.ending import Ending
+from hazelhollow.operator.records import Store as Terms
+from hazelhollow.store import tls
+from hazelhollow.store.exchange import Exchange
+from hazelhollow.store.link import Credentials
+
+MOST_OUT = 1024 * 1024
+
+log = structlog.get_logger(__name__)
+
+
+def credentials(terms: Terms) -> Credentials:
+    """The password is the first line of its file. Raises `OSError` or `UnicodeDecodeError`."""
+    password = ""
+    if terms.password_file:
+        password = Path(terms.password_file).read_text().partition("\n")[0].strip()
+    return Credentials(terms.username, password, terms.database)
+
+
+class Driver:
+    """One limiter's connection to its store, opened again whenever it ends."""
+
+    def __init__(self, scheduler: sch.Scheduler, exchange: Exchange) -> None:
+        self.scheduler, self.exchange = scheduler, exchange
+        self._stream: stream.Stream | None = None
+        self._layer: tls.Layer | None = None
+        self._timer: sch.Timer | None = None
+
+    def start(self) -> None:
+        self.scheduler.spawn_lasting(self._run, "store")
+        self._advance()
+
+    def change(self, terms: Terms) -> None:
+        """The connection is opened anew by these terms, and the files that they name are read again."""
+        self.exchange.terms = terms
+        if self._stream:
+            self._stream.close(Ending.MOVED)
+
+    def pump(self) -> None:
+        """The books may have something to ask."""
+        self.exchange.pump(self.scheduler.clock())
+        self._flush()
+        self._arm()
+
+    def _run(self) -> None:
+        while True:
+            why = self._connection()
+            wait = self.exchange.retry_in()
+            log.warning("store: no connection", why=why, address="{}:{}".format(*self.exchange.terms.address), again_in=round(wait, 3))
+            self.scheduler.sleep(wait)
+
+    def _connection(self) -> str:
+        """From the attempt to open it to its end; gives why it ended."""
+        terms = self.exchange.terms
+        try:
+            who = credentials(terms)
+            layer = tls.Layer(tls.context(terms.tls), terms.tls.server_name or terms.address[0]) if terms.tls else None
+        except (OSError, ssl.SSLError, UnicodeDecodeError) as error:
+            return str(error)
+        driver = stream.connect(self.scheduler, terms.address, MOST_OUT, terms.connect_timeout)
+        if isinstance(driver, Ending):
+            return driver.name.lower()
+        self._stream, self._layer = driver, layer
+        try:
+            if layer:
+                driver.write(layer.begin())
+            self.exchange.opened(who, self.scheduler.clock())
+            self._flush()
+            self._arm()
+            return self._read(driver)
+        except ssl.SSLError as error:
+            return f"TLS: {error.reason or error}"
+        finally:
+            driver.close(Ending.CLOSED)
+            self._stream = self._layer = None
+            self.exchange.closed(self.scheduler.clock())
+
+    def _read(self, driver: stream.Stream) -> str:
+        while driver.ending is None:
+            driver.wait()
+            data = driver.read(stream.CHUNK)
+            if isinstance(data, Ending):
+                return data.name.lower()
+            if data:
+                if self._layer:
+                    data, back = self._layer.feed(data)
+                    driver.write(back)
+                why = self.exchange.receive(data, self.scheduler.clock())
+                if why:
+                    return why
+                self._flush()
+                self._arm()
+        return driver.ending.name.lower()
+
+    def _flush(self) -> None:
+        data = self.exchange.take()
+        if self._stream and data:
+            self._stream.write(self._layer.write(data) if self._layer else data)
+
+    def _arm(self) -> None:
+        due = self.exchange.next_at(self.scheduler.clock())
+        if self._timer is None or due < self._timer.when:
+            if self._timer:
+                self._timer.cancel()
+            self._timer = self.scheduler.at(due, self._advance)
+
+    def _advance(self) -> None:
+        self._timer = None
+        why = self.exchange.advance(self.scheduler.clock())
+        if why and self._stream:
+            log.warning("store: given up", why=why)
+            self._stream.close(Ending.STALLED)
+        self._flush()
+        self._arm()
