--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -122,7 +122,7 @@
         return account
 
     def _allow(self, event: api.Allowance) -> None:
-        """A limit kept elsewhere is what is told right before the request: neither rate nor share nor peers change it."""
+        """A limit kept elsewhere is what is told right before the request: no rate, no share, no peers change it."""
         plan = self.plans.get(event.plan_name)
         if plan is None:
             return
@@ -188,7 +188,8 @@
         # What a large set was told is soon old: as the level falls fewer are let in, by chance, so that it
         # settles above nothing, where being a little wrong lets in a few more or less and none beyond.
         heard = account.totals.heard_rate(self.now - (self.period - 1) * PERIOD)
-        reserve = 0.0 if account.kept else UNHEARD * heard + (RESERVE * plan.burst * self.random.random() if account.telling else 0.0)
+        reserve = UNHEARD * heard + (RESERVE * plan.burst * self.random.random() if account.telling else 0.0)
+        reserve = 0.0 if account.kept else reserve
         room = not plan.open_limit or self._may_open(account, plan.open_limit, heard)
         return room and (not plan.rate or account.budget.level >= held.event.units + reserve)
 
