--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -122,7 +122,7 @@
         return account
 
     def _allow(self, event: api.Allowance) -> None:
-        """A limit kept elsewhere is what is told right before the request: no rate, no share, no peers change it."""
+        """A limit kept elsewhere is as told right before the request: no rate, share or peer changes it."""
         plan = self.plans.get(event.plan_name)
         if plan is None:
             return
