The pool fills only as far as what was on lease at each moment; leases go where they are short

Also: units on lease are spent before the base's, so that the base stays a reserve; what is left of a lease goes back before it ends; a part is reckoned over what is there and on lease; only who finds the pool low waits to ask again.

--- a/hazelhollow/bench/commands.py
+++ b/hazelhollow/bench/commands.py
@@ -61,8 +61,8 @@
             if name != "by_fault":
                 click.echo(f"{name:40} {value}")
         for kind, row in figures["by_fault"].items():
-            click.echo(f"  {kind:14} broken {row['broken']:3}  over {row['worst_overshoot_share']:7.4f}  calls a request "
-                       f"{row['calls_per_request']:.3f}  refused with room {row['refused_with_room_share']:.4f}")  # fmt: skip
+            click.echo(f"  {kind:14} broken {row['broken']:3}  over {row['worst_overshoot_share']:7.4f}  calls a kept request "
+                       f"{row['calls_per_kept_request']:.3f}  refused with room {row['refused_with_room_share']:.4f}")  # fmt: skip
     sys.exit(1 if figures["broken"] else 0)
 
 
--- a/hazelhollow/bench/load.py
+++ b/hazelhollow/bench/load.py
@@ -22,6 +22,7 @@
 UNIT_WEIGHTS = (8, 5, 3, 2, 1, 1)
 MEAN_UNITS = sum(u * w for u, w in zip(UNITS, UNIT_WEIGHTS, strict=True)) / sum(UNIT_WEIGHTS)
 INSIDE_PER_S = 220.0  # requests inside the quotas, all customers
+CALM = 0.3  # of its quota, before the rush
 RETRIES = 2
 RETRY_AFTER = (0.0, 0.2)  # seconds: clients ask again at once or after a short fixed wait
 
@@ -67,9 +68,12 @@
     shift_every: float
     skew: float
     shifted_at: float = 0.0
+    calm_until: float = 0.0
 
     def rate(self, now: float) -> float:
-        """Units a second."""
+        """Units a second. Until `calm_until` every customer is calm: the fleet has been serving before the rush."""
+        if now < self.calm_until:
+            return self.plan.rate * min(self.times, CALM)
         spike = max([times for begin, end, times in self.spikes if begin <= now < end], default=0.0)
         return self.plan.rate * max(self.times, spike)
 
--- a/hazelhollow/bench/world.py
+++ b/hazelhollow/bench/world.py
@@ -31,6 +31,7 @@
 ANSWER = 0.02  # seconds in which an issuer host answers
 CALL_COST = 0.00004  # seconds that a store takes for a call
 HOSTS = 12
+WARM_UP = 8.0  # seconds in which a fleet and its store get to know their customers, who are calm meanwhile
 
 
 class World:
@@ -279,6 +280,8 @@
             # Limiters start one after another, and their store is there before them.
             self.world.at(START + 0.05 * n_th(member.number), member.start)
         self.customers = load.draw_customers(draw, self.plans, gateways, seconds, START)
+        for customer in self.customers:
+            customer.calm_until = START + WARM_UP
         for customer in self.customers if uneven else ():
             customer.weights = [0.9] + [0.1 / max(customer.spread - 1, 1)] * (customer.spread - 1)
             draw.shuffle(customer.weights)
--- a/hazelhollow/operator/schema.cue
+++ b/hazelhollow/operator/schema.cue
@@ -35,7 +35,7 @@
 #Lease: {
 	term:       *"1500ms" | #Duration // a lease that is not renewed by then is void
 	base_share: *0.25 | number & >=0 & <=0.9 // of each limit, divided evenly and never in the store
-	ahead:      *"1200ms" | #Duration // of use, at the customer's rate here, that a limiter holds
+	ahead:      *"600ms" | #Duration // of use, at the customer's rate here, that a limiter holds
 }
 
 // Limiters show the store that they are there; the share of one that does not is kept for it.
--- a/hazelhollow/store/books.py
+++ b/hazelhollow/store/books.py
@@ -25,11 +25,13 @@
 SCARCE_PAUSE = 0.25  # of the time a lease is asked for: who got little asks no sooner. What waits in the pool is not lost
 IDLE_SHARE = 0.4  # of a lease's term: who has not asked for so long does not need it
 RENEW_SHARE = 0.3  # of the term: what is left of it when a lease in use is renewed
+LAST = 0.1  # seconds before a lease's end at which what is left of it goes back
 WORTH_BACK = 0.1  # of the pool's burst: less than that on lease is let lapse
 CLOCKS = 0.1  # seconds by which limiters' clocks may differ
 SLACK = 0.1  # seconds beside all that is added up, before a limiter takes its even share
 JUMP = 0.5  # seconds of change in the store's clock against ours that is no drift
 FORGET_AFTER = 30.0  # seconds without a request, after which a customer is let go of
+STEP, MOST_STEPS = 0.1, 6  # seconds, and how many, in which spending is told
 MOST_LINES = 50_000  # customers; past it the longest idle goes
 ROOMY = 0.5  # of a burst: where one of the largest requests for each limiter takes no more, the base has room for it
 NEED_FADES = 0.98  # a request: how the largest one seen lately is forgotten
@@ -53,23 +55,38 @@
     leased: float = 0.0
     spent: float = 0.0  # out of leases, since this limiter's life began
     extra: Store | None = None  # the even share of the pool, while the store is out of reach
+    steps: list[tuple[float, float]] = field(default_factory=list)  # what was spent out of leases lately: until when, units
 
     def level(self) -> float:
         return self.base.level + self.leased + (self.extra.level if self.extra else 0.0)
 
-    def take(self, units: float) -> None:
-        """From the base first, which refills by itself; what nothing is left for is owed by the base."""
-        from_base = min(units, max(self.base.level, 0.0))
-        self.base.level -= from_base
-        units -= from_base
+    def take(self, units: float, now: float) -> None:
+        """From leases first, which end; what nothing is left for is owed by the base."""
+        from_lease = min(units, self.leased)
+        self.leased -= from_lease
+        self.spent += from_lease
+        units -= from_lease
+        if from_lease:
+            self._note(from_lease, now)
         if self.extra and units > 0:
             from_extra = min(units, max(self.extra.level, 0.0))
             self.extra.level -= from_extra
             units -= from_extra
-        from_lease = min(units, self.leased)
-        self.leased -= from_lease
-        self.spent += from_lease
-        self.base.level -= units - from_lease
+        self.base.level -= units
+
+
+    def _note(self, units: float, now: float) -> None:
+        """Few steps, each told as late as its last part: the store may let the pool fill for what it knows to be spent."""
+        if self.steps and now - self.steps[-1][0] < STEP:
+            units += self.steps.pop()[1]
+        self.steps.append((now, units))
+        if len(self.steps) > MOST_STEPS:
+            (_, older), (at, newer) = self.steps[0], self.steps[1]
+            self.steps[:2] = [(at, older + newer)]
+
+    def told(self, until: float) -> None:
+        """The store has heard of what was spent by then."""
+        self.steps = [step for step in self.steps if step[0] > until]
 
 
 @dataclass(eq=False)
@@ -164,10 +181,10 @@
             line.learn(request.units, sent, now)
         if sent:
             for pool in line.pools:
-                pool.take(request.units)
+                pool.take(request.units, now)
         elif short:
             self.counts["refused_dry"] += 1
-        self._consider(line, now)
+        self._consider(line, request.units if short else 0.0, now)
 
     @staticmethod
     def _key(request: api.Request) -> str:
@@ -227,8 +244,9 @@
 
     # What is asked of the store
 
-    def _consider(self, line: Line, now: float) -> None:
-        """Asks for more where what is here will soon not do, and for what is on lease to last."""
+    def _consider(self, line: Line, short: float, now: float) -> None:
+        """Asks for more where what is here will soon not do, and for what is on lease to last. `short`: the units of a
+        request that was refused for want of them; a grant that would not let it in is of no use."""
         if line.call or now < line.dry_until or len(line.members) == 1 or not self.may_lease(now):
             return
         wants, ask = [], False
@@ -237,11 +255,11 @@
             low = line.need + line.rate * LEAD
             target = beyond * self.terms.lease.ahead
             if pool.base.level < line.need:
-                target = max(target, 2 * line.need)
+                target = max(target, line.need)
             ask = ask or pool.level() < low or (pool.leased > 0 and self._ends_soon(line, now) and beyond > 0)
             wants.append(min(max(target - pool.leased, 0.0), pool.most))
         if ask and any(wants):
-            self._lease(line, wants, [p.leased for p in line.pools], now)
+            self._lease(line, wants, [p.leased for p in line.pools], short, now)
 
     def _ends_soon(self, line: Line, now: float) -> bool:
         return line.until - now < RENEW_SHARE * self.terms.lease.term
@@ -254,7 +272,7 @@
         """Seconds for which a limiter goes by what it was told of who is there."""
         return self.terms.presence.every + 2 * self.terms.call_timeout + 0.05
 
-    def _lease(self, line: Line, wants: list[float], have: list[float], now: float) -> None:
+    def _lease(self, line: Line, wants: list[float], have: list[float], short: float, now: float) -> None:
         """A call that tells what was spent and is held, and asks for more. What the store holds to be on lease here and is
         not named goes back, so an answer that was lost or came late costs nothing that lasts."""
         self.sequence += 1
@@ -262,9 +280,9 @@
         args = [f"{self.number}.{self.life}", str(self.sequence), _ms(now), self._too_late(now), _ms(self.since),
                 _ms(terms.lease.term), str(present), str(len(line.members)), f"{line.total:.3f}", str(len(line.pools))]  # fmt: skip
         for pool, want, held in zip(line.pools, wants, have, strict=True):
-            lacking = max(line.need - max(pool.base.level, 0.0) - held, 0.0) if want else 0.0
-            need = min(lacking, want)
-            args += [f"{pool.rate / 1000:.9f}", f"{pool.most:.6f}", f"{pool.spent:.6f}", f"{held:.6f}", f"{want:.6f}", f"{need:.6f}"]
+            need = min(max(short - max(pool.base.level, 0.0) - held, 0.0), want)
+            args += [f"{pool.rate / 1000:.9f}", f"{pool.most:.6f}", f"{pool.spent:.6f}", f"{held:.6f}", f"{want:.6f}", f"{need:.6f}",
+                     ",".join(f"{(now - at) * 1000:.0f}:{units:.6f}" for at, units in pool.steps)]  # fmt: skip
         call = Call("lease", f"{terms.prefix}:{{{_plain(line.key)}}}", args, now, line, have, [p.spent for p in line.pools], wants)
         line.call = call
         self._put(call)
@@ -292,23 +310,27 @@
         if not self.away and now >= self.away_at():
             self.away, self.absences = True, self.absences + 1
             self.counts["absences"] += 1
-        self._tidy(now)
-        return self.next_sign if self.linked else now + self.terms.presence.every
+        again = self._tidy(now)
+        return min(self.next_sign if self.linked else now + self.terms.presence.every, again)
 
-    def _tidy(self, now: float) -> None:
-        """Hands back what is idle, and forgets customers; looks only at those that hold something, and at the oldest."""
-        idle = IDLE_SHARE * self.terms.lease.term
+    def _tidy(self, now: float) -> float:
+        """Hands back what is idle or about to end, and forgets customers; looks only at those that hold something, and at
+        the oldest. Gives when to look again."""
+        idle, again = IDLE_SHARE * self.terms.lease.term, math.inf
         for line in list(self._leasing.values()):
             line.lapse(now)
             if not any(pool.leased > 0 for pool in line.pools):
                 del self._leasing[line.key]
-            elif now - line.used > idle and any(pool.leased > WORTH_BACK * pool.most for pool in line.pools):
+            elif now >= min(line.used + idle, line.until - LAST) and any(p.leased > WORTH_BACK * p.most for p in line.pools):
                 self._give_back(line, now)
+            else:
+                again = min(again, max(min(line.used + idle, line.until - LAST), now + LAST))
         while self.lines:
             oldest = next(iter(self.lines.values()))
             if now - oldest.used <= FORGET_AFTER or oldest.call:
-                return
+                break
             del self.lines[oldest.key]
+        return again
 
     def _give_back(self, line: Line, now: float) -> None:
         if line.call or not self.may_lease(now):
@@ -316,7 +338,7 @@
         self.counts["returned"] += sum(pool.leased for pool in line.pools)
         for pool in line.pools:
             pool.leased = 0.0
-        self._lease(line, [0.0] * len(line.pools), [0.0] * len(line.pools), now)
+        self._lease(line, [0.0] * len(line.pools), [0.0] * len(line.pools), 0.0, now)
 
     def _sign(self, now: float) -> None:
         """A sign of life. The even share is let go of before it is written: no moment has both."""
@@ -361,13 +383,14 @@
             return
         line.total = max(line.total, float(answer[1]))
         wait = float(answer[2]) / 1000
-        scarce = any(float(answer[4 + 3 * at]) < want / 2 for at, want in enumerate(call.wants))
+        scarce = any(float(answer[4 + 3 * at]) < want / 2 and float(answer[5 + 3 * at]) < line.need for at, want in enumerate(call.wants))
         wait = max(wait, SCARCE_PAUSE * self.terms.lease.ahead if scarce else 0.0)
         line.dry_until = now + min(wait, self.terms.lease.term)
         line.until = call.sent_at + self.terms.lease.term
         if now >= line.until:
             return
         for at, pool in enumerate(line.pools):
+            pool.told(call.sent_at)
             kept, granted = float(answer[3 + 3 * at]), float(answer[4 + 3 * at])
             self._settle(pool, call.have[at], kept, granted, call.lapsed)
         if any(pool.leased > 0 for pool in line.pools):
--- a/hazelhollow/store/lease.lua
+++ b/hazelhollow/store/lease.lua
@@ -4,7 +4,8 @@
 --
 -- ARGV: slot (limiter and life), sequence, caller's ms, store's ms after which this is too late, store's ms of its start,
 --       term ms, limiters present, limiters in the set, highest total the caller has seen, number of limits,
---       then for each limit: rate a ms, burst, spent since the slot began, units held, units wanted, units needed.
+--       then for each limit: rate a ms, burst, spent since the slot began, units held, units wanted, units needed, and when
+--       what was spent lately was: `ms ago:units,...`, the latest last.
 -- Gives {word, total, wait ms, then for each limit: kept, granted, level}. Words: ok, late, stale.
 
 local clock = redis.call('TIME')
@@ -45,39 +46,73 @@
     anchor, store_at, caller_at, latest = now, store_ms, caller_ms, caller_ms
   end
 end
-local open_for = math.max(now - math.max(last, opens), 0)
 
--- What is on lease: the caller's own slot, and what others hold. A lease that has ended counts as spent.
-local out, others, mine = {}, 0, nil
-for i = 1, limits do out[i] = 0 end
-local gone_slots = {}
+-- What is on lease, by slot: sequence, end, then spent and held for each limit. A lease that has ended counts as spent.
+local mine, slots, ended = nil, {}, {}
 for name, text in pairs(record) do
   if string.sub(name, 1, 2) == 'm:' then
-    local found = numbers(text)  -- sequence, end, then spent and held for each limit
-    if name == 'm:' .. slot then
-      mine = found
-    elseif lost or found[2] <= now or #found ~= 2 + 2 * limits then
-      gone_slots[#gone_slots + 1] = name
-    else
-      local held = 0
-      for i = 1, limits do
-        out[i] = out[i] + found[2 + 2 * i]
-        held = held + found[2 + 2 * i]
-      end
-      if held > 0 then others = others + 1 end
+    local found = numbers(text)
+    if #found == 2 + 2 * limits and not lost then
+      if name == 'm:' .. slot then mine = found end
+      if found[2] <= now then ended[#ended + 1] = {name = name, at = found[2], found = found} end
+      slots[#slots + 1] = found
+    elseif name ~= 'm:' .. slot then
+      ended[#ended + 1] = {name = name, at = now}
     end
   end
 end
-if mine and not lost and seq <= mine[1] then return {'stale', string.format('%.3f', total), '0'} end
-if mine and (lost or #mine ~= 2 + 2 * limits) then mine = nil end
+if mine and seq <= mine[1] then return {'stale', string.format('%.3f', total), '0'} end
+table.sort(ended, function(a, b) return a.at < b.at end)
 
-local answer, words, levels, wait = {'ok', '', ''}, {seq, now + term + MARGIN}, {}, 0
+-- The pool fills up to its burst less what was on lease at each moment, as far as that can be known now: a lease until it
+-- ended, the caller's own until it says that it spent it. (To let the pool fill as if all had been spent long ago would pass
+-- the burst.) Both can only be later than they were.
 local counted = math.min(present, were)  -- of those that were away meanwhile, the share was theirs
+local function falls(i, spent, told)
+  local found = {}
+  for _, lease in ipairs(ended) do
+    if lease.found then found[#found + 1] = {lease.at, lease.found[2 + 2 * i]} end
+  end
+  if mine and mine[2] > now then
+    local left, steps = math.max(spent - mine[1 + 2 * i], 0), {}
+    for ago, units in string.gmatch(told, '([%d.]+):([%d.]+)') do steps[#steps + 1] = {now - tonumber(ago), tonumber(units)} end
+    for n = #steps, 1, -1 do  -- the store may have heard of the earlier ones
+      local units = math.min(steps[n][2], left)
+      left = left - units
+      found[#found + 1] = {math.max(steps[n][1], last), units}
+    end
+  end
+  table.sort(found, function(a, b) return a[1] < b[1] end)
+  return found
+end
+local function fill(i, rate, burst, level, spent, told)
+  local out, from = 0, last
+  for _, found in ipairs(slots) do out = out + found[2 + 2 * i] end
+  for _, fall in ipairs(falls(i, spent, told)) do
+    level = math.min(level + rate * math.max(fall[1] - math.max(from, opens), 0), burst - out)
+    out, from = out - fall[2], math.max(from, fall[1])
+  end
+  return math.max(math.min(level + rate * math.max(now - math.max(from, opens), 0), burst - out), 0)
+end
+local others, held_by_others = 0, {}
+for i = 1, limits do held_by_others[i] = 0 end
+for _, found in ipairs(slots) do
+  if found ~= mine and found[2] > now then
+    local any = 0
+    for i = 1, limits do
+      held_by_others[i] = held_by_others[i] + found[2 + 2 * i]
+      any = any + found[2 + 2 * i]
+    end
+    if any > 0 then others = others + 1 end
+  end
+end
+
+local answer, words, levels, wait = {'ok', '', ''}, {seq, now + term + MARGIN}, {}, 0
 for i = 1, limits do
-  local at = 10 + 6 * (i - 1)
+  local at = 10 + 7 * (i - 1)
   local rate, burst = tonumber(ARGV[at + 1]), tonumber(ARGV[at + 2])
   local spent, have, want, need = tonumber(ARGV[at + 3]), tonumber(ARGV[at + 4]), tonumber(ARGV[at + 5]), tonumber(ARGV[at + 6])
-  local level = lost and 0 or tonumber(record['l' .. i] or '0')
+  local level = fill(i, rate * counted / set, burst * counted / set, lost and 0 or tonumber(record['l' .. i] or '0'), spent, ARGV[at + 7])
   local kept = 0
   if lost then
     kept = math.min(have, burst)  -- the caller tells what it holds
@@ -86,10 +121,8 @@
     kept = math.min(have, held)
     level = level + held - kept  -- what the caller does not hold goes back: answers that it never had, and what is idle
   end
-  level = level + rate * counted / set * open_for
-  level = math.max(math.min(level, burst * counted / set - out[i] - kept), 0)
-  -- Where others hold leases too, nobody takes more than its part of what is there or of the whole, but for one request.
-  local part = math.min(level / (others + 1), burst * counted / set / (others + 1) - kept)
+  -- Where others hold leases too, nobody holds more than its part of what is there and on lease, but for one request.
+  local part = (level + kept + held_by_others[i]) / (others + 1) - kept
   local granted = math.min(want, math.max(part, math.min(level, need)))
   if granted < need then
     if rate > 0 and present > 0 then
@@ -115,7 +148,7 @@
   fields[#fields + 1] = string.format('%.6f', levels[i])
 end
 if lost then redis.call('DEL', KEYS[1]) end
-for i = 1, #gone_slots do redis.call('HDEL', KEYS[1], gone_slots[i]) end
+for _, lease in ipairs(ended) do redis.call('HDEL', KEYS[1], lease.name) end
 redis.call('HSET', KEYS[1], unpack(fields))
 redis.call('PEXPIRE', KEYS[1], FORGET)
 return answer
