--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(PYTHON) -c 'import click, greenlet, orjson, lark, lupa, msgspec, structlog' 2>/dev/null || (python3 -m venv $(VENV) && $(PYTHON) -m pip -q install -r requirements.txt -r requirements-all.txt)
 
 dev: build
-	$(PYTHON) -c 'import hypothesis, mypy, pytest, redis, ruff' 2>/dev/null || $(PYTHON) -m pip -q install -r requirements-dev.txt
+	$(PYTHON) -c 'import hiredis, hypothesis, mypy, pytest, redis, ruff, trustme' 2>/dev/null || $(PYTHON) -m pip -q install -r requirements-dev.txt
 
 test: dev
 	$(PYTHON) -m pytest -p no:cacheprovider
--- a/hazelhollow/bench/store.py
+++ b/hazelhollow/bench/store.py
@@ -233,11 +233,11 @@
     even = [r for r in results if r.kind == EVEN]
     today = [r for r in results if r.kind == TODAY]
     results = [r for r in results if r.kind not in (EVEN, TODAY)]
-    overs = sorted(max(r.over, 0.0) for r in results)
+    overs = sorted(max(0.0, r.over) for r in results)
     calm = [r for r in results if r.kind == "none"] or results
 
     def at(share: float) -> float:
-        return round(overs[min(len(overs) - 1, int(share * len(overs)))], 4) if overs else 0.0
+        return round(overs[min(len(overs) - 1, int(share * len(overs)))], 4) + 0.0 if overs else 0.0  # not -0.0
 
     return {
         "runs": len(results),
--- a/hazelhollow/store/tls.py
+++ b/hazelhollow/net/tls.py
@@ -1,27 +1,39 @@
-"""TLS as a layer that is fed bytes: `ssl.MemoryBIO` either way, no socket (RFC 8446; the `ssl` module's documentation)."""
+"""TLS as a layer that is fed bytes: `ssl.MemoryBIO` either way, no socket (RFC 8446; the `ssl` module's documentation).
+
+Not imported where no operator file asks for it.
+"""
 
 from __future__ import annotations
 
 import ssl
 
-from hazelhollow.operator.records import Tls
+CHUNK = 64 * 1024
 
 
-def context(tls: Tls) -> ssl.SSLContext:
+def client_context(ca_file: str, cert_file: str = "", key_file: str = "") -> ssl.SSLContext:
     """Reads the files anew each time. Raises `OSError` or `ssl.SSLError`, with the reason."""
-    made = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=tls.ca_file)
+    made = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=ca_file)
+    made.minimum_version = ssl.TLSVersion.TLSv1_2
+    if cert_file:
+        made.load_cert_chain(cert_file, key_file or None)
+    return made
+
+
+def server_context(cert_file: str, key_file: str = "") -> ssl.SSLContext:
+    """Raises `OSError` or `ssl.SSLError`, with the reason."""
+    made = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     made.minimum_version = ssl.TLSVersion.TLSv1_2
-    if tls.cert_file:
-        made.load_cert_chain(tls.cert_file, tls.key_file or None)
+    made.load_cert_chain(cert_file, key_file or None)
     return made
 
 
 class Layer:
-    """Between the link's plain bytes and the socket's."""
+    """Between plain bytes and the socket's. A server's side names no server."""
 
-    def __init__(self, made: ssl.SSLContext, server_name: str) -> None:
+    def __init__(self, made: ssl.SSLContext, server_name: str = "") -> None:
         self._in, self._out = ssl.MemoryBIO(), ssl.MemoryBIO()
-        self._tls = made.wrap_bio(self._in, self._out, server_hostname=server_name)
+        side = made.protocol == ssl.PROTOCOL_TLS_SERVER
+        self._tls = made.wrap_bio(self._in, self._out, server_side=side, server_hostname=server_name or None)
         self._shaken = False
         self._held = bytearray()  # plain bytes that wait for the handshake
 
@@ -31,9 +43,10 @@
         return self._out.read()
 
     def write(self, plain: bytes) -> bytes:
+        """What goes to the other side now; plain bytes wait until the handshake is done."""
         self._held += plain
         if self._shaken and self._held:
-            self._tls.write(self._held)
+            self._tls.write(bytes(self._held))
             self._held.clear()
         return self._out.read()
 
@@ -45,7 +58,7 @@
         plain = bytearray()
         while self._shaken:
             try:
-                part = self._tls.read(64 * 1024)
+                part = self._tls.read(CHUNK)
             except ssl.SSLWantReadError:
                 break
             if not part:
--- a/hazelhollow/standins/commands.py
+++ b/hazelhollow/standins/commands.py
@@ -12,6 +12,7 @@
 
 from hazelhollow import config
 from hazelhollow.net import scheduler as sch
+from hazelhollow.net import tls
 from hazelhollow.operator.commands import fail
 from hazelhollow.operator.syntax import CueError
 from hazelhollow.standins import node
@@ -34,7 +35,9 @@
 @click.option("--faults", "file", metavar="FILE", help="What goes wrong and when; see hazelhollow/standins/redis/faults.cue.")
 @click.option("--password", default="", help="Clients must give it by AUTH or HELLO.")
 @click.option("--shards", default=1, show_default=True, type=click.IntRange(1, 64), help="More than one: a cluster, a port each.")
-def redis(listen: str, seed: int, file: str | None, password: str, shards: int) -> None:
+@click.option("--tls-cert", metavar="FILE", help="Speak TLS, with this certificate.")
+@click.option("--tls-key", default="", metavar="FILE", help="Its key, where that is a file of its own.")
+def redis(listen: str, seed: int, file: str | None, password: str, shards: int, tls_cert: str | None, tls_key: str) -> None:
     """A store that speaks RESP2 as Redis does, until SIGTERM or Ctrl-C.
 
     Prints `ready HOST:PORT` for each shard once it can be reached. While it runs, any client can say
@@ -43,6 +46,7 @@
     try:
         address = _loopback(listen)
         plan = faults.read_plan(Path(file).read_bytes(), file) if file else []
+        secure = tls.server_context(tls_cert, tls_key) if tls_cert else None
     except CueError as error:
         fail(error)
     except (OSError, ValueError) as error:
@@ -50,7 +54,7 @@
         sys.exit(2)
     scheduler = sch.Scheduler(sch.Clock())
     try:
-        servers = server.start(scheduler, address, seed, password, plan, shards)
+        servers = server.start(scheduler, address, seed, password, plan, shards, secure)
     except OSError as error:
         _cannot_listen(listen, error)
     _until_signal(scheduler, [one.address for one in servers])
--- a/hazelhollow/store/driver.py
+++ b/hazelhollow/store/driver.py
@@ -8,10 +8,9 @@
 import structlog
 
 from hazelhollow.net import scheduler as sch
-from hazelhollow.net import stream
+from hazelhollow.net import stream, tls
 from hazelhollow.net.ending import Ending
 from hazelhollow.operator.records import Store as Terms
-from hazelhollow.store import tls
 from hazelhollow.store.exchange import Exchange
 from hazelhollow.store.link import Credentials
 
@@ -28,6 +27,14 @@
     return Credentials(terms.username, password, terms.database)
 
 
+def secured(terms: Terms) -> tls.Layer | None:
+    """TLS as the terms say, or none. Raises `OSError` or `ssl.SSLError`."""
+    if terms.tls is None:
+        return None
+    made = tls.client_context(terms.tls.ca_file, terms.tls.cert_file, terms.tls.key_file)
+    return tls.Layer(made, terms.tls.server_name or terms.address[0])
+
+
 class Driver:
     """One limiter's connection to its store, opened again whenever it ends."""
 
@@ -65,7 +72,7 @@
         terms = self.exchange.terms
         try:
             who = credentials(terms)
-            layer = tls.Layer(tls.context(terms.tls), terms.tls.server_name or terms.address[0]) if terms.tls else None
+            layer = secured(terms)
         except (OSError, ssl.SSLError, UnicodeDecodeError) as error:
             return str(error)
         driver = stream.connect(self.scheduler, terms.address, MOST_OUT, terms.connect_timeout)
--- a/hazelhollow/store/link.py
+++ b/hazelhollow/store/link.py
@@ -174,7 +174,7 @@
         if answer is None:
             broken: list[News] = [] if waiting.over else [Failed(waiting.call, "not an answer of the script's")]
             return [*broken, Broken("not an answer of the script's")]
-        if waiting.over or now >= waiting.sent_at + self.limit:
+        if now >= waiting.sent_at + self.limit:
             first: list[News] = [] if waiting.over else [Failed(waiting.call, "no answer in time")]
             return [*first, Late(waiting.call, answer)]
         return [Answered(waiting.call, answer, now - waiting.sent_at)]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -27,8 +27,8 @@
 BASIC = api.Plan("basic", rate=100.0, burst=100.0)
 
 
-def terms() -> records.Store:
-    store = load.read(b'store: {address: "127.0.0.1:1"}', "t").store
+def terms(extra: str = "") -> records.Store:
+    store = load.read(f'store: {{address: "127.0.0.1:1", {extra}}}'.encode(), "t").store
     assert store
     return store
 
@@ -165,11 +165,13 @@
 class Shop:
     """Some limiters' books and one station; calls reach it when the test says so."""
 
-    def __init__(self, limiters: int = 3, **changes: Any) -> None:
+    def __init__(self, limiters: int = 3, base: bool = True) -> None:
         self.now = START
         self.station = Station(lambda: self.now, 1)
-        told = [api.Settings(n, limiters, (LOOK, BUY), (PLAN, BASIC), max_units=4.0) for n in range(limiters)]
-        self.books = [Books(told[n], TERMS, f"l{n}", self.now) for n in range(limiters)]
+        most = 4.0 if base else 100.0  # with requests so large the base has no room for one
+        told = [api.Settings(n, limiters, (LOOK, BUY), (PLAN, BASIC), max_units=most) for n in range(limiters)]
+        self.terms = TERMS if base else terms("lease: base_share: 0.0")
+        self.books = [Books(told[n], self.terms, f"l{n}", self.now) for n in range(limiters)]
         self.ceiling, self.quota = Bucket(40.0, 80.0, START), Bucket(20.0, 40.0, START)
         self.ids = 0
         for n in range(limiters):
@@ -293,17 +295,43 @@
     assert shop.run(call)[0] == "late"
 
 
+def hold(shop: Shop, n: int, units: float) -> Any:
+    """A limiter takes so much on lease and spends nothing; gives its line."""
+    books = shop.books[n]
+    shop.ask(n, 0.001)
+    shop.calls(n)
+    line = books.lines["c/gold"]
+    line.call = None
+    books._lease(line, [units] * 2, [p.leased for p in line.pools], 0.0, shop.now)
+    shop.serve(n)
+    return line
+
+
 def test_a_lease_that_is_not_renewed_is_void_and_its_units_come_back_by_time_only() -> None:
     shop = Shop()
     shop.warm()
-    while not shop.books[0].outbox:
-        shop.ask(0)
-    shop.serve(0)
-    line = shop.books[0].lines["c/gold"]
-    assert line.pools[0].leased > 0
-    shop.now += 1.5  # the limiter hears nothing meanwhile, as if it had stood still
+    line = hold(shop, 0, 12.0)
+    assert line.pools[0].leased == pytest.approx(12.0)
+    shop.now += TERMS.lease.term  # the limiter hears nothing meanwhile, as if it had stood still
     shop.ask(0)
     assert line.pools[0].leased == 0
+    level = hold(shop, 1, 40.0).pools[0].leased  # the store counts them as spent until the lease has ended there too
+    assert level <= 28.0 - 12.0
+    shop.now += TERMS.lease.term + 2.0
+    assert hold(shop, 2, 40.0).pools[0].leased >= 27.0
+
+
+def test_what_a_lost_answer_granted_goes_back_with_the_next_call() -> None:
+    shop = Shop()
+    shop.warm()
+    books, line = shop.books[0], hold(shop, 0, 1.0)
+    books._lease(line, [20.0, 20.0], [p.leased for p in line.pools], 0.0, shop.now)
+    (call,) = shop.calls(0)
+    shop.run(call)
+    books.given_up(call, shop.now)
+    before = hold(shop, 1, 40.0).pools[0].leased
+    hold(shop, 0, 0.0)
+    assert before < 9.0 and hold(shop, 1, 40.0).pools[0].leased > before + 4.0
 
 
 def test_idle_leases_go_back_before_they_end() -> None:
@@ -422,8 +450,9 @@
     shop.warm()
     books = shop.books[0]
     shop.now += books.view_lasts() + 0.01
+    before = books.counts["calls"]
     _burst(shop, 0)
-    assert not [c for c in shop.calls(0) if c.kind == "lease"]
+    assert books.counts["calls"] == before
 
 
 def test_keys_hold_a_tag_by_customer_and_expire() -> None:
@@ -499,6 +528,207 @@
         assert shop.quota.lowest >= -1e-4 - reborn
 
 
+def spend_all(shop: Shop, line: Any) -> None:
+    for pool, bucket in zip(line.pools, (shop.quota, shop.ceiling), strict=True):
+        units = pool.level()
+        pool.take(units, shop.now)
+        bucket.take(units, shop.now)
+
+
+def settled() -> Shop:
+    """Without a base; the customer's pool is full and all limiters are there."""
+    shop = Shop(base=False)
+    for _ in range(2):
+        for n in range(3):
+            hold(shop, n, 0.0)
+        shop.wait(5.0)
+    return shop
+
+
+@pytest.mark.parametrize("restarted", [True, False])
+def test_old_numbers_are_not_believed_whoever_calls_first(restarted: bool) -> None:
+    """After a restart by a limiter that knows nothing; without one by a limiter that has seen a higher total."""
+    shop = settled()
+    old = shop.station.engine.snapshot()
+    spend_all(shop, hold(shop, 0, 80.0))
+    if restarted:
+        shop.now += 0.1
+        shop.station.engine.restart(old)
+        shop.books[1] = Books(shop.books[1].settings, shop.terms, "new", shop.now)
+        shop.link_up(1)
+        spend_all(shop, hold(shop, 1, 80.0))
+    else:
+        shop.station.engine.databases = old
+        spend_all(shop, hold(shop, 0, 80.0))
+    assert shop.quota.lowest >= -0.1 and shop.ceiling.lowest >= -0.1
+
+
+def test_what_was_on_lease_when_the_store_forgot_may_be_spent_and_passes_nothing() -> None:
+    shop = settled()
+    held = hold(shop, 0, 30.0)
+    shop.station.engine.call(0, [b"FLUSHALL"])
+    for n in (0, 1, 2, 0, 1, 2):  # all show that they are there, or too few of them would be known to take much
+        shop.books[n].next_sign = shop.now
+        shop.now += 0.001
+        shop.books[n].tick(shop.now)
+        shop.serve(n)
+    hold(shop, 1, 0.0)
+    for step in (0.5, 0.5, 0.45):  # to the last moment at which it is good
+        shop.now += step
+        for n in (2, 1, 2, 1):
+            shop.books[n].next_sign = shop.now
+            shop.now += 0.001
+            shop.books[n].tick(shop.now)
+            shop.serve(n)
+    spend_all(shop, hold(shop, 1, 80.0))
+    held.lapse(shop.now)
+    spend_all(shop, held)
+    assert held.pools[0].spent >= 30.0 and shop.quota.lowest >= -0.1
+
+
+@pytest.mark.parametrize("whose", ["store", "limiter"])
+def test_a_clock_that_jumps_alone_fills_no_pool(whose: str) -> None:
+    shop = settled()
+    spend_all(shop, hold(shop, 0, 80.0))
+    if whose == "store":
+        shop.station.engine.skew += 60.0
+    for n in (1, 2):
+        shop.books[n].next_sign = shop.now
+        for _ in range(2):  # the first tells what the store's clock is now
+            shop.books[n].tick(shop.now)
+            shop.serve(n)
+            shop.now += 0.06
+    if whose == "limiter":
+        call = Call("lease", "hh:{c/gold}", ["9.x", "1", f"{(shop.now + 60) * 1000:.0f}", "9e15", "0", "1500", "3", "3", "0", "0"], shop.now)
+        shop.run(call)
+    spend_all(shop, hold(shop, 1, 80.0))
+    assert shop.quota.lowest >= -0.1 and shop.ceiling.lowest >= -0.1
+
+
+def test_a_share_that_comes_back_to_the_pool_fills_at_the_rate() -> None:
+    shop = settled()
+    shop.books[0].down(shop.now)
+    for turn in range(40):
+        shop.now += 0.25
+        for n in range(3):
+            shop.books[n].tick(shop.now)
+            (shop.serve if n else shop.calls)(n)
+        if turn < 20:  # the pool is not asked in the last seconds before the share comes back
+            hold(shop, 1, 0.0)
+    line = shop.books[0].lines["c/gold"]
+    shop.books[0]._refresh(line, shop.now)
+    assert line.pools[0].level() == pytest.approx(40.0 / 3)
+    spend_all(shop, line)
+    shop.link_up(0)
+    shop.books[1].next_sign = shop.now
+    shop.books[1].tick(shop.now)
+    shop.serve(1)
+    assert shop.books[1].view == {0, 1, 2}
+    spend_all(shop, hold(shop, 1, 80.0))
+    assert shop.quota.lowest >= -0.1 and shop.ceiling.lowest >= -0.1
+
+
+class Adversary:
+    """Limiters that keep to the protocol and otherwise do their worst: they take what they can, hold it, and spend it at
+    the worst moment. There is no base, so the pool's bucket is the whole limit and nothing covers a unit too many."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance, self.shop = random.Random(seed), Shop(base=False)
+        self.linked, self.lives = [True] * 3, 0
+        self.stray: list[Call] = []
+        self.saved = self.shop.station.engine.snapshot()
+
+    def line(self, n: int) -> Any:
+        books, shop = self.shop.books[n], self.shop
+        books.before(api.Request("r", "look", "gold", "c", 1.0, 1.0, 0, 3), shop.now)
+        return books.lines["c/gold"]
+
+    def take(self, n: int) -> None:
+        books, shop, line = self.shop.books[n], self.shop, self.line(n)
+        if line.call or not books.may_lease(shop.now):
+            return
+        wants = [self.chance.choice([1.0, 10.0, 40.0, 80.0])] * 2
+        books._lease(line, wants, [p.leased for p in line.pools], 0.0, shop.now)
+        for call in shop.calls(n):
+            self.fate(n, call)
+
+    def fate(self, n: int, call: Call) -> None:
+        books, shop, fate = self.shop.books[n], self.shop, self.chance.random()
+        if not self.linked[n]:
+            books.given_up(call, shop.now)
+        elif fate < 0.75:
+            books.answered(call, shop.run(call), shop.now)
+        else:  # lost after it ran, lost before, or it runs some time later
+            _ = shop.run(call) if fate < 0.85 else self.stray.append(call) if fate < 0.93 else None  # type: ignore[func-returns-value]
+            books.given_up(call, shop.now)
+
+    def spend(self, n: int) -> None:
+        shop, line = self.shop, self.line(n)
+        for pool, bucket in zip(line.pools, (shop.quota, shop.ceiling), strict=True):
+            units = max(pool.level(), 0.0) * self.chance.choice([1.0, 1.0, 0.3])
+            pool.take(units, shop.now)
+            bucket.take(units, shop.now)
+
+    def trouble(self) -> None:
+        shop, chance, n = self.shop, self.chance, self.chance.randrange(3)
+        engine = shop.station.engine
+        what = chance.choice(["empty", "old", "flush", "jump", "cut", "cut", "cut", "reborn", "save", "save"])
+        if what in ("empty", "old"):
+            engine.restart(self.saved if what == "old" else None)
+            for k in range(3):
+                shop.books[k].down(shop.now)
+                if self.linked[k]:
+                    self.up(k)
+        elif what == "flush":
+            engine.call(0, [b"FLUSHALL"])
+        elif what == "jump":
+            engine.skew += chance.uniform(-50, 50)
+        elif what == "save":
+            self.saved = engine.snapshot()
+        elif what == "cut":
+            self.linked[n] = not self.linked[n]
+            self.up(n) if self.linked[n] else shop.books[n].down(shop.now)
+        else:
+            self.lives += 1
+            shop.books[n] = Books(shop.books[n].settings, shop.terms, f"x{self.lives}", shop.now)
+            self.linked[n] = True
+            self.up(n)
+
+    def up(self, n: int) -> None:
+        engine = self.shop.station.engine
+        self.shop.books[n].up(engine.started, engine.now(), self.shop.now)
+        self.tick(n)
+
+    def tick(self, n: int) -> None:
+        self.shop.books[n].tick(self.shop.now)
+        for call in self.shop.calls(n):
+            self.fate(n, call)
+
+    def step(self, troubles: float) -> None:
+        shop, chance, n = self.shop, self.chance, self.chance.randrange(3)
+        shop.now += chance.choice([0.0, 0.001, 0.02, 0.1, 0.4, 1.0]) if chance.random() < 0.95 else chance.uniform(1.5, 9.0)
+        for k in range(3):
+            if chance.random() < 0.9:  # or it stands still
+                self.tick(k)
+        if chance.random() < troubles:
+            self.trouble()
+        if self.stray and chance.random() < 0.1:
+            shop.run(self.stray.pop(chance.randrange(len(self.stray))))
+        self.take(n)
+        if chance.random() < 0.5:
+            self.spend(chance.randrange(3))
+
+
+@hyp(max_examples=120)
+@given(st.integers(0, 2**32), st.sampled_from([0.0, 0.01, 0.05]))
+def test_no_adversary_passes_the_pool(seed: int, troubles: float) -> None:
+    adversary = Adversary(seed)
+    for _ in range(200):
+        adversary.step(troubles)
+        shop = adversary.shop
+        assert shop.quota.lowest >= -0.1 and shop.ceiling.lowest >= -0.2  # clocks are told in whole milliseconds
+
+
 # A whole limiter, on sockets
 
 
--- /dev/null
+++ b/tests/test_store_tls.py
@@ -0,0 +1,141 @@
+"""TLS and the password to the store: whole limiters' drivers against the stand-in on sockets, and files that change."""
+
+from __future__ import annotations
+
+import ssl
+from pathlib import Path
+
+import pytest
+import trustme
+
+from hazelhollow import interface as api
+from hazelhollow.net import tls
+from hazelhollow.net.scheduler import Scheduler
+from hazelhollow.operator import load, records
+from hazelhollow.standins.redis.faults import Fault
+from hazelhollow.standins.redis.server import Server
+from hazelhollow.standins.redis.station import Station
+from hazelhollow.store.books import Books
+from hazelhollow.store.driver import Driver
+from hazelhollow.store.exchange import Exchange
+from tests.scenario import BUY, LOOK, START
+
+PLAN = api.Plan("gold", 20.0, 40.0, ceiling_rate=40.0, ceiling_burst=80.0)
+
+
+def certificate(authority: trustme.CA, folder: Path, name: str = "127.0.0.1") -> str:
+    path = folder / f"{name}.pem"
+    authority.issue_cert(name).private_key_and_cert_chain_pem.write_to_path(str(path))
+    return str(path)
+
+
+class Pair:
+    """A driver and a stand-in in one loop, with a clock that the test moves."""
+
+    def __init__(self, text: str, secure: ssl.SSLContext | None = None, password: str = "") -> None:
+        self.now = START
+        self.scheduler = Scheduler(lambda: self.now)
+        self.server = Server(self.scheduler, Station(lambda: self.now, 1, password), ("127.0.0.1", 0), secure)
+        self.server.start()
+        settings = api.Settings(0, 2, (LOOK, BUY), (PLAN,))
+        self.text = text
+        self.books = Books(settings, self.terms(), "l", self.now)
+        self.exchange = Exchange(self.books, self.terms(), 1)
+        self.driver = Driver(self.scheduler, self.exchange)
+        self.driver.start()
+
+    def terms(self) -> records.Store:
+        address = "{}:{}".format(*self.server.address)
+        store = load.read(f'store: {{address: "{address}", {self.text}}}'.encode(), "t").store
+        assert store
+        return store
+
+    def settle(self, seconds: float = 0.0) -> None:
+        end = self.now + seconds
+        while True:
+            for _ in range(15):
+                self.scheduler.turn(longest=0.0)
+            if self.now >= end:
+                return
+            self.now += 0.02
+
+
+def test_a_limiter_and_its_store_speak_tls(tmp_path: Path) -> None:
+    authority = trustme.CA()
+    authority.cert_pem.write_to_path(str(tmp_path / "ca"))
+    pair = Pair(f'tls: ca_file: "{tmp_path}/ca"', tls.server_context(certificate(authority, tmp_path)))
+    pair.settle(0.3)
+    assert pair.books.linked and pair.books.view == {0}
+
+
+@pytest.mark.parametrize("trouble", ["another authority", "another name", "no TLS there", "no file"])
+def test_a_store_that_cannot_be_trusted_is_not_spoken_to(tmp_path: Path, trouble: str) -> None:
+    authority, other = trustme.CA(), trustme.CA()
+    (other if trouble == "another authority" else authority).cert_pem.write_to_path(str(tmp_path / "ca"))
+    cert = certificate(authority, tmp_path, "10.0.0.9" if trouble == "another name" else "127.0.0.1")
+    secure = None if trouble == "no TLS there" else tls.server_context(cert)
+    if trouble == "no file":
+        (tmp_path / "ca").unlink()
+    pair = Pair(f'tls: ca_file: "{tmp_path}/ca"', secure, password="secret")
+    pair.settle(0.5)
+    assert not pair.books.linked and pair.server.station.calls.get("EVALSHA", 0) == 0
+    (authority.cert_pem if trouble == "another authority" else other.cert_pem).write_to_path(str(tmp_path / "ca"))
+    pair.settle(0.5)  # still asked for a password
+
+
+def test_files_are_read_again_when_the_connection_is_opened_anew(tmp_path: Path) -> None:
+    authority, other = trustme.CA(), trustme.CA()
+    other.cert_pem.write_to_path(str(tmp_path / "ca"))
+    (tmp_path / "password").write_text("wrong\n")
+    text = f'password_file: "{tmp_path}/password", tls: ca_file: "{tmp_path}/ca"'
+    pair = Pair(text, tls.server_context(certificate(authority, tmp_path)), password="right")
+    pair.settle(0.5)
+    authority.cert_pem.write_to_path(str(tmp_path / "ca"))
+    pair.settle(3.0)
+    assert not pair.books.linked and "AUTH" in pair.server.station.calls
+    (tmp_path / "password").write_text("right\nnot this line\n")
+    pair.driver.change(pair.terms())
+    pair.settle(3.0)
+    assert pair.books.linked
+
+
+def test_a_store_that_goes_and_comes_back_is_found_again(tmp_path: Path) -> None:
+    pair = Pair("")
+    pair.settle(0.2)
+    assert pair.books.linked
+    pair.server.station.faults.add(Fault("restart_empty", lasts=1.0), pair.now)
+    pair.server.advance()
+    pair.settle(0.3)
+    assert not pair.books.linked and pair.exchange.counts["broken"] == 1
+    pair.settle(4.0)
+    assert pair.books.linked and pair.books.view == {0}
+
+
+def test_a_store_that_falls_silent_costs_a_call_its_limit_and_then_the_connection() -> None:
+    pair = Pair("")
+    pair.settle(0.2)
+    pair.server.station.faults.add(Fault("lost", lasts=2.0), pair.now)
+    pair.settle(1.0)
+    assert pair.exchange.counts["failed"] >= 1 and pair.exchange.counts["broken"] >= 1
+    pair.settle(5.0)
+    assert pair.books.linked
+
+
+def test_a_layer_carries_plain_bytes_both_ways_split_anywhere(tmp_path: Path) -> None:
+    authority = trustme.CA()
+    authority.cert_pem.write_to_path(str(tmp_path / "ca"))
+    client = tls.Layer(tls.client_context(str(tmp_path / "ca")), "127.0.0.1")
+    server = tls.Layer(tls.server_context(certificate(authority, tmp_path)))
+    wire, back, got, answered = client.begin() + client.write(b"early"), b"", b"", b""
+    for _ in range(2000):
+        part, wire = wire[:97], wire[97:]
+        plain, more = server.feed(part) if part else (b"", b"")
+        got, back = got + plain, back + more
+        part, back = back[:97], back[97:]
+        plain, more = client.feed(part) if part else (b"", b"")
+        answered, wire = answered + plain, wire + more
+        if got == b"early" and not answered and not back:
+            back += server.write(b"late" * 10)
+        if len(answered) == 40:
+            break
+    assert got == b"early" and answered == b"late" * 10
