--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -134,9 +134,10 @@
         if event.quota is not None:
             account.budget.level, account.kept = event.quota, True
 
-    @staticmethod
-    def _key(customer: str) -> str:
-        return gossip.base36(crc32(customer.encode()) % 36**5)
+    def _key(self, customer: str) -> str:
+        if customer != self.latest[0]:
+            self.latest = customer, gossip.base36(crc32(customer.encode()) % 36**5)
+        return self.latest[1]
 
     def _request(self, event: api.Request) -> None:
         kind, plan = self.classes.get(event.class_name), self.plans.get(event.plan_name)
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Literal, Union
+from typing import Literal, NamedTuple, Union
 
 Effect = Literal["safe", "keyed", "unsafe"]
 Group = Literal["all", "zone", "cell"]
@@ -169,8 +169,7 @@
     total: float
 
 
-@dataclass(frozen=True)
-class Allowance:
+class Allowance(NamedTuple):
     """Comes right before a request of a customer whose limits are kept elsewhere: what this gateway may let in of each,
     in units. Nothing for a limit that the gateway keeps itself."""
 
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -226,6 +226,7 @@
         self.loads: dict[int, tuple[float, dict[str, float]]] = {}  # peers' work out, by server's tag
         self.warm_sent = Window(settings.fall_time)  # work sent to warm servers
         self.said: tuple[float, str, list[str]] = (-1.0, "", [])  # when, head and words of the last message
+        self.latest = ("", "")  # customer and key
         self.leftover = self.wait = 0.0  # units; seconds that answers waited lately
         self.born, self.whole = 0.0, False  # its start, and whether it is known that all others began then too
         self.now, self.period, self.flushed, self.life = 0.0, 0, 0, ""
--- a/hazelhollow/store/books.py
+++ b/hazelhollow/store/books.py
@@ -37,14 +37,6 @@
 NEED_FADES = 0.98  # a request: how the largest one seen lately is forgotten
 
 
-@dataclass(frozen=True)
-class Levels:
-    """What a limiter may let in now: units for each limit that the store keeps, nothing for one that it does not."""
-
-    quota: float | None
-    ceiling: float | None
-
-
 @dataclass
 class Pool:
     """One limit of one customer at this limiter. `share`, `most`: of the pool in the store, rate and burst."""
@@ -110,9 +102,10 @@
 
     key: str
     members: frozenset[int]
-    names: tuple[str, ...]  # quota, ceiling or both, in this order
-    pools: list[Pool]
+    pools: list[Pool]  # quota, ceiling or both, in this order
     used: float
+    quota: Pool | None = None
+    ceiling: Pool | None = None
     rate: float = 0.0  # units a second that are sent on here
     need: float = 1.0  # of the largest request seen lately
     until: float = 0.0  # when what is on lease ends
@@ -160,48 +153,35 @@
 
     # Requests
 
-    def before(self, request: api.Request, now: float) -> Levels | None:
-        """What may be let in for this request's customer; nothing where the store keeps none of its limits."""
-        line = self._line(request, now)
-        if line is None:
+    def before(self, request: api.Request, now: float) -> Line | None:
+        """The customer's line, whose pools say what may be let in now; nothing where the store keeps none of its limits."""
+        plan = self.plans.get(request.plan_name)
+        if plan is None:
             return None
-        self._refresh(line, now)
-        levels = {name: pool.level() for name, pool in zip(line.names, line.pools, strict=True)}
-        return Levels(levels.get("quota"), levels.get("ceiling"))
-
-    def after(self, request: api.Request, sent: bool, now: float) -> None:
-        """The request was sent on, and its units are spent; or it was not."""
-        key = self._key(request)
+        key = f"{request.customer}/{request.plan_name}"
         line = self.lines.pop(key, None)
         if line is None:
-            return
+            line = self._open(key, plan, request, now)
+            if line is None:
+                return None
+            if len(self.lines) >= MOST_LINES:
+                del self.lines[next(iter(self.lines))]
         self.lines[key] = line
-        short = min(pool.level() for pool in line.pools) < request.units
+        self._refresh(line, now)
+        return line
+
+    def after(self, line: Line, units: float, sent: bool, now: float) -> None:
+        """The request that `before` was asked for was sent on, and its units are spent; or it was not."""
+        short = not sent and min([pool.level() for pool in line.pools]) < units
         if sent or short:  # what was refused for another reason is no use that a lease could serve
-            line.learn(request.units, sent, now)
+            line.learn(units, sent, now)
         if sent:
             for pool in line.pools:
-                pool.take(request.units, now)
+                pool.take(units, now)
         elif short:
             self.counts["refused_dry"] += 1
-        self._consider(line, request.units if short else 0.0, now)
-
-    @staticmethod
-    def _key(request: api.Request) -> str:
-        return f"{request.customer}/{request.plan_name}"
-
-    def _line(self, request: api.Request, now: float) -> Line | None:
-        key = self._key(request)
-        line = self.lines.get(key)
-        if line is None:
-            plan, made = self.plans.get(request.plan_name), None
-            made = self._open(key, plan, request, now) if plan else None
-            if made is None:
-                return None
-            if len(self.lines) >= MOST_LINES:
-                del self.lines[next(iter(self.lines))]
-            line = self.lines[key] = made
-        return line
+        if not line.call and now >= line.dry_until:
+            self._consider(line, units if short else 0.0, now)
 
     def _open(self, key: str, plan: api.Plan, request: api.Request, now: float) -> Line | None:
         """A customer's books. A ceiling's base starts as if it had been empty when this life began: the life before may
@@ -225,14 +205,15 @@
             store.fill(now)
             pools.append(Pool(store, (1 - share) * rate, burst - spread * most))
         members = frozenset((request.first_gateway + n) % told.gateways for n in range(spread))
-        return Line(key, members, tuple(name for name, *_ in limits), pools, now)
+        by_name = dict(zip((name for name, *_ in limits), pools, strict=True))
+        return Line(key, members, pools, now, by_name.get("quota"), by_name.get("ceiling"))
 
     def _refresh(self, line: Line, now: float) -> None:
         line.lapse(now)
         for pool in line.pools:
             pool.base.fill(now)
             if not self.away:
-                pool.extra = None
+                pool.extra = None  # a share from an absence that is over
             elif pool.extra is None or line.away != self.absences:
                 spread = len(line.members)
                 began = self.away_at()
@@ -247,7 +228,7 @@
     def _consider(self, line: Line, short: float, now: float) -> None:
         """Asks for more where what is here will soon not do, and for what is on lease to last. `short`: the units of a
         request that was refused for want of them; a grant that would not let it in is of no use."""
-        if line.call or now < line.dry_until or len(line.members) == 1 or not self.may_lease(now):
+        if len(line.members) == 1 or not self.may_lease(now):
             return
         wants, ask = [], False
         for pool in line.pools:
@@ -417,7 +398,7 @@
             self.next_sign = now + self.terms.call_timeout
             self.counts["stale"] += 1
             return
-        self.view, self.view_at = frozenset(int(n) for n in answer[1:]), call.sent_at
+        self.view, self.view_at = frozenset(map(int, answer[1].split())), call.sent_at
 
     def given_up(self, call: Call, now: float) -> None:
         """No answer in time, or an error in its place: it may have run. The next call says what is held, which mends it."""
--- a/hazelhollow/store/keeping.py
+++ b/hazelhollow/store/keeping.py
@@ -18,16 +18,17 @@
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
         if not isinstance(event, api.Request):
             return self._inner.handle(event, now)
-        levels = self._books.before(event, now)
-        if levels is None:
+        line = self._books.before(event, now)
+        if line is None:
             return self._inner.handle(event, now)
-        told = api.Allowance(
-            event.customer, event.plan_name, event.first_gateway, event.spread, levels.quota, levels.ceiling
+        quota = line.quota.level() if line.quota else None
+        ceiling = line.ceiling.level() if line.ceiling else None
+        self._inner.handle(
+            api.Allowance(event.customer, event.plan_name, event.first_gateway, event.spread, quota, ceiling), now
         )
-        self._inner.handle(told, now)
         actions = self._inner.handle(event, now)
-        sent = any(isinstance(action, api.Send) and action.id == event.id for action in actions)
-        self._books.after(event, sent, now)
+        sent = any([isinstance(action, api.Send) and action.id == event.id for action in actions])
+        self._books.after(line, event.units, sent, now)
         if self._books.outbox:
             self._asked()
         return actions
--- a/hazelhollow/store/link.py
+++ b/hazelhollow/store/link.py
@@ -230,13 +230,14 @@
     if not isinstance(value, list) or not value or not all(isinstance(part, bytes) for part in value):
         return None
     answer = [_text(part) for part in value]
-    numbers = answer[1:] if kind == "lease" else [x for x in answer if x != "late"]
+    numbers = answer[1:] if kind == "lease" else answer[:1]
     try:
         finite = all(abs(float(n)) < 1e18 for n in numbers)
     except ValueError:
         return None
     if kind == "present":
-        return answer if finite and all(n == "late" or n.isdigit() for n in answer[1:]) else None
+        named = len(answer) == 2 and (answer[1] == "late" or answer[1].replace(" ", "").isdigit())
+        return answer if finite and named else None
     whole = answer[0] != "ok" or (len(answer) >= 6 and len(answer) % 3 == 0)
     return answer if finite and whole and len(answer) >= 3 else None
 
