Five more guards of the store get their tests; make run works on a fresh checkout

A second look found five guards that nobody had taken out, and no test noticed when they were: a lease that ends under a call, one that the store has forgotten, an answer after its lease's end, the bound on customers, a start in the future. And `make run` ended with `RELAY_CONFIG is not set`: it takes deploy/example.json now where none is given.

--- a/Makefile
+++ b/Makefile
@@ -18,5 +18,6 @@
 	$(PYTHON) -m mypy
 	$(PYTHON) -c "n = sum(bool(line.strip()) for line in open('hazelhollow/decide.py')); print('decide.py:', n, 'non-blank lines of at most 500'); exit(n > 500)"
 
+run: export RELAY_CONFIG ?= deploy/example.json
 run: build
 	exec $(PYTHON) -m hazelhollow serve
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -800,3 +800,53 @@
         bucket.take(1.0, 0.0)
     assert bucket.over_share() == 0.4 and bucket.broken(largest=6.0) and not bucket.broken(largest=7.0)
     assert bucket.fill(10.0) == 20.0
+
+
+def in_flight(shop: Shop) -> tuple[Any, Call]:
+    """Limiter 0 holds 12 units and has a call on its way that asks for 5 more."""
+    line = hold(shop, 0, 12.0)
+    shop.books[0]._lease(line, [5.0, 5.0], [p.leased for p in line.pools], 0.0, shop.now)
+    (call,) = shop.calls(0)
+    return line, call
+
+
+def reply(kept: float, granted: float) -> list[str]:
+    return ["ok", "50.000", "0", *[str(kept), str(granted), "9.0"] * 2]
+
+
+def test_what_the_store_no_longer_knows_of_is_not_held_any_more() -> None:
+    shop = Shop()
+    shop.warm()
+    line, call = in_flight(shop)
+    shop.books[0].answered(call, reply(0.0, 5.0), shop.now)
+    assert line.pools[0].leased == pytest.approx(5.0) and shop.books[0].counts["lost"] > 0
+
+
+def test_a_lease_that_ended_while_a_call_was_out_is_neither_had_again_nor_owed() -> None:
+    shop = Shop()
+    shop.warm()
+    line, call = in_flight(shop)
+    line.until = shop.now + 0.01
+    shop.now += 0.02
+    base = line.pools[0].base.level
+    shop.books[0].answered(call, reply(0.0, 5.0), shop.now)
+    assert line.pools[0].leased == pytest.approx(5.0) and line.pools[0].base.level == base
+
+
+def test_an_answer_that_comes_after_its_lease_has_ended_gives_nothing() -> None:
+    shop = Shop()
+    shop.warm()
+    line, call = in_flight(shop)
+    shop.now += TERMS.lease.term
+    shop.books[0].answered(call, reply(12.0, 5.0), shop.now)
+    assert line.pools[0].leased == 0
+
+
+def test_customers_are_bounded_and_a_start_in_the_future_is_not_believed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("hazelhollow.store.books.MOST_LINES", 3)
+    shop = Shop()
+    for n in range(6):
+        shop.books[0].before(api.Request("r", "look", "gold", f"c{n}", 1.0, 1.0, 0, 3), shop.now)
+    assert list(shop.books[0].lines) == ["c3/gold", "c4/gold", "c5/gold"]
+    shop.books[0].up(shop.now + 100, shop.now, shop.now)  # a store's clock that was set back gives such a start
+    assert shop.books[0].since == shop.now
