--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -62,10 +62,14 @@
     show_default=True,
     help="What goes to standard error; an operator file says it in its own words.",
 )
-def serve(operator: str | None, log_level: str) -> None:
+@click.option(
+    "--counters", type=click.FloatRange(min=0.1), metavar="SECONDS", help="Print the counters so often, with the time."
+)
+def serve(operator: str | None, log_level: str, counters: float | None) -> None:
     """Serve until SIGTERM, as the RELAY_ variables say.
 
-    SIGHUP reads RELAY_CONFIG and the operator file again, SIGUSR1 prints the counters.
+    SIGHUP reads RELAY_CONFIG and the operator file again, SIGUSR1 prints the counters. With --counters, the lines
+    of many limiters can be added up by second: that shows what one of them alone does not.
     """
     attached = None
     if operator is not None:
@@ -78,7 +82,7 @@
         )
     told = _load()
     try:
-        service.serve(told, lambda: config.load(os.environ, again=True), attached)
+        service.serve(told, lambda: config.load(os.environ, again=True), attached, counters)
     except OSError as error:
         _fail(f"cannot listen: {error.strerror or error}")
 
--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -142,7 +142,7 @@
     def _request(self, event: api.Request) -> None:
         kind, plan = self.classes.get(event.class_name), self.plans.get(event.plan_name)
         if kind is None or plan is None or event.units <= 0 or event.patience <= 0:
-            self.actions.append(api.Refuse(event.id))
+            self.actions.append(api.Refuse(event.id, why="unknown"))
             return
         key = self._key(event.customer)
         spread = max(1, min(event.spread, self.settings.gateways))
@@ -152,9 +152,10 @@
         self.units[kind.name] += GAIN * (event.units - self.units[kind.name])
         held.inside = self._inside(held)
         if plan.ceiling_rate and account.ceiling.fill(self.now) < event.units:
-            self._refuse(held, (event.units - account.ceiling.level) / account.ceiling.rate)
+            self._refuse(held, (event.units - account.ceiling.level) / account.ceiling.rate, "ceiling")
         elif not held.inside and not (plan.over_worth > plan.over_cost and self.leftover >= event.units):
-            self._refuse(held, (event.units - account.budget.level) / plan.rate if plan.rate else PERIOD)
+            wait = (event.units - account.budget.level) / plan.rate if plan.rate else PERIOD
+            self._refuse(held, wait, "quota" if wait > 0 else "open" if plan.open_limit else "reserve")
         else:
             self._admit(held)
 
@@ -170,7 +171,7 @@
         longest = self.patience[kind.name] = max(self.patience[kind.name], patience)
         late = patience < longest - self.settings.tick and kind.deadline - patience > kind.aim
         if server is None or wait > (LEFTOVER if late or not held.inside else PRESSURE) * limit:
-            self._refuse(held, ADVICE * kind.aim)
+            self._refuse(held, ADVICE * kind.aim, "late" if late else "pressure" if server else "no server")
             return
         self.held[held.event.id] = held
         self._charge(held.account, held)
@@ -208,8 +209,8 @@
         if held.inside:
             self._book(held.key, account, units, self.period)
 
-    def _refuse(self, held: Held, wait: float) -> None:
-        self.actions.append(api.Refuse(held.event.id, min(max(wait, 0.0), self.settings.max_retry_after)))
+    def _refuse(self, held: Held, wait: float, why: str) -> None:
+        self.actions.append(api.Refuse(held.event.id, min(max(wait, 0.0), self.settings.max_retry_after), why))
 
     # Gossip
 
@@ -433,7 +434,7 @@
         else:
             held.ended = True
             fail, advice = api.Fail(held.event.id), ADVICE * held.kind.aim
-            self._refuse(held, advice) if may_refuse(held) else self.actions.append(fail)
+            self._refuse(held, advice, "given up") if may_refuse(held) else self.actions.append(fail)
 
     def _learn(self, attempt: Attempt, kind: api.RequestClass, event: api.Outcome) -> None:
         server, waited = attempt.server, event.elapsed - attempt.work > self.wait
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -201,10 +201,11 @@
 
 @dataclass(frozen=True)
 class Refuse:
-    """Final: turned away, safe to try again."""
+    """Final: turned away, safe to try again. `why` is for the counters alone."""
 
     id: str
     retry_after: float = 0.0
+    why: str = ""
 
 
 @dataclass(frozen=True)
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -124,6 +124,7 @@
         if result.status == "ok" and not one.answered:
             one.answered = True
             self._stats.served += 1
+            self._stats.ok_seconds += now - leg.started
             one.caller.served(result.value)
         event = api.Outcome(
             one.id,
@@ -175,6 +176,7 @@
             one = self._answer(action.id)
             if one:
                 self._stats.declined += 1
+                self._stats.declines[action.why] += 1
                 one.caller.declined(math.ceil(action.retry_after * 1000))
         elif isinstance(action, api.Fail):
             one = self._answer(action.id)
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -101,6 +101,16 @@
         log.info("reloaded: discovery at %s:%d", *config.discovery)
         self.watch.move(config.discovery)
 
+    def print_counters_every(self, seconds: float) -> None:
+        def run() -> None:
+            clock = self.scheduler.clock
+            while True:
+                self.scheduler.wait(until=(clock() // seconds + 1) * seconds)
+                self.stats.at = round(clock(), 3)
+                print(self.stats.text(), file=sys.stderr, flush=True)
+
+        self.scheduler.spawn_lasting(run, name="counters")
+
     def leave(self) -> None:
         """Serves on for a while, answers all that was taken, then ends the loop."""
         if not self.leaving:
@@ -121,8 +131,14 @@
         self.scheduler.stop()
 
 
-def serve(config: Config, reread: Callable[[], Config], attached: Attachment | None = None) -> None:
-    """Until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 prints the counters."""
+def serve(
+    config: Config, reread: Callable[[], Config], attached: Attachment | None = None, counters: float | None = None
+) -> None:
+    """Until SIGTERM or SIGINT. SIGHUP reads the configuration again, SIGUSR1 prints the counters.
+
+    `counters`: seconds after which they are printed again and again, at whole multiples of that on the clock, so that
+    the lines of several limiters belong together.
+    """
     scheduler = sch.Scheduler(sch.Clock())
     service = Service(config, scheduler, attached)
     inner, outer = socket.socketpair()
@@ -133,6 +149,8 @@
         signal.signal(number, lambda *_: None)  # the number comes through the socket pair
     scheduler.spawn_lasting(lambda: _signals(service, inner, reread), name="signals")
     service.start()
+    if counters:
+        service.print_counters_every(counters)
     log.info("%s listens at %s:%d", config.name, *service.acquirer.address)
     gc.collect()
     gc.freeze()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -119,7 +119,15 @@
     gateway = make()
     spend(gateway, 100.0, 12)
     (refusal,) = only(ask(gateway, 100.0), api.Refuse)
-    assert 0 < refusal.retry_after <= 1.0
+    assert 0 < refusal.retry_after <= 1.0 and refusal.why == "quota"
+
+
+def test_a_refusal_says_its_reason_for_the_counters() -> None:
+    assert [r.why for r in only(ask(make(), 0.0, plan_name="hard"), api.Refuse)] == ["ceiling"]  # empty at a start
+    assert [r.why for r in only(ask(make(), 0.0, plan_name="none"), api.Refuse)] == ["unknown"]
+    bare = make()
+    bare.handle(servers("full"), 0.0)
+    assert [r.why for r in only(ask(bare, 0.0), api.Refuse)] == ["no server"]
 
 
 # Gossip
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -9,6 +9,7 @@
 import weakref
 from collections.abc import Callable
 
+import orjson
 import pytest
 
 from hazelhollow import interface as api
@@ -591,3 +592,11 @@
     stage._end("a").sendall(stage.bytes_of(ask(1)))
     stage.now += 0.2
     stage.play(f"s1 expect {ask(1, 800)}\nwait 0.81\ns1 expect closed")
+
+
+def test_counters_are_printed_at_whole_seconds_with_declines_by_reason(capsys: pytest.CaptureFixture[str]) -> None:
+    stage = Stage(hosts=1)
+    stage.service.print_counters_every(1.0)  # its clock starts on a whole second
+    stage.play(f"a send {ask(1).replace('units=1', 'units=400')}\nwait 1.1")
+    lines = [orjson.loads(line) for line in capsys.readouterr().err.splitlines() if line.startswith("{")]
+    assert [int(line["at"]) for line in lines] == [1_000_001] and lines[0]["declines"] == {"quota": 1}
