What fails at once is no waiting, and a refused connection ejects its host

Cause: _learn took every failed outcome for an answer that had waited, so that refused connections and errors after 3 ms raised self.wait as a queue does, and a gateway with errors alone refused everything (a test of the stretches showed it). And each of forty limiters needed three refused connections of each of twenty hosts before it left one.

Change: what ended otherwise than well waited only as long as it took, except a full queue and a time-out, which do tell of waiting; in a large fleet one refused connection ejects its host for the usual term.

The guard taken out, three tests fail.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -467,16 +467,17 @@
             for health in [server.health[n] for n in ("", kind.name) if n in server.health and not slow]:
                 health.failures, health.ejections = health.failures / 2, 0
         if (slow or event.status != "ok") and event.status not in ("cancelled", "moot"):
-            waited, name = True, "" if event.status in (*NEVER_RAN, "timeout") else kind.name
-            self._failure(server, name)
+            # What broke or failed at once did not wait: a lost zone or a bad host is no overload.
+            waited, name = waited or event.status in ("full", "timeout"), "" if event.status in (*NEVER_RAN, "timeout") else kind.name
+            self._failure(server, name, EJECT_AFTER if event.status == "connect_failed" and not self.small else 1.0)
             if event.status != "full" and not self.small:  # one that is short must not eject itself so
                 self.failed[server.tag, [*self.classes, ""].index(name)] = self.now
         # The middle of what answers waited, not the mean: a few slow or failing servers are no overload.
         self.wait = max(0.0, self.wait + GAIN * self.tight * (1 if waited else -1))
 
-    def _failure(self, server: Server, kind: str) -> None:
+    def _failure(self, server: Server, kind: str, weight: float = 1.0) -> None:
         health = server.health.setdefault(kind, Health())
-        if health.count(self.now, EJECT_AT_MOST) >= EJECT_AFTER and self.now >= health.until:
+        if health.count(self.now, EJECT_AT_MOST, weight) >= EJECT_AFTER and self.now >= health.until:
             health.eject(self.now, EJECT_FOR, EJECT_AT_MOST)
             if health.ejections == 1:
                 self.actions.append(api.Log(f"ejected {server.entry.server}: {kind or 'every class'} fails"))
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -210,3 +210,25 @@
     for i in range(900):
         gateway.handle(api.Timer("beat"), 140.0 + i / 10)
     assert not gateway.accounts and not gateway.held and not gateway.dirty and not gateway.late
+
+
+def fail(gateway: Gateway, status: str, count: int) -> None:
+    for i in range(count):
+        for send in only(ask(gateway, 100.0 + i / 100, customer=f"{status}{i}"), api.Send):
+            gateway.handle(api.Outcome(send.id, 0, send.server, status, 0.003), 100.01 + i / 100)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("status, pressed", [("error", False), ("connect_failed", False), ("reset", False), ("full", True)])
+def test_what_fails_at_once_is_no_overload_and_a_full_queue_is(status: str, pressed: bool) -> None:
+    gateway = make(0, gateways=FLEET)
+    gateway.handle(servers("full", *(entry(f"s{i}") for i in range(60))), 100.0)
+    fail(gateway, status, 30)
+    assert (gateway.wait > 0.35 * gateway.tight) == pressed
+
+
+def test_a_host_that_refuses_a_connection_is_left_at_once_in_a_large_fleet_alone() -> None:
+    for gateways, ejected in ((FLEET, 1), (3, 0)):
+        gateway = make(0, gateways=gateways)
+        (send,) = only(ask(gateway, 100.0), api.Send)
+        gateway.handle(api.Outcome(send.id, 0, send.server, "connect_failed", 0.003), 100.01)
+        assert gateway.servers[send.server].health[""].ejections == ejected
