--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -468,7 +468,8 @@
                 health.failures, health.ejections = health.failures / 2, 0
         if (slow or event.status != "ok") and event.status not in ("cancelled", "moot"):
             # What broke or failed at once did not wait: a lost zone or a bad host is no overload.
-            waited, name = waited or event.status in ("full", "timeout"), "" if event.status in (*NEVER_RAN, "timeout") else kind.name
+            waited = waited or event.status in ("full", "timeout")
+            name = "" if event.status in (*NEVER_RAN, "timeout") else kind.name
             self._failure(server, name, EJECT_AFTER if event.status == "connect_failed" and not self.small else 1.0)
             if event.status != "full" and not self.small:  # one that is short must not eject itself so
                 self.failed[server.tag, [*self.classes, ""].index(name)] = self.now
