--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -24,7 +24,7 @@
 UNHEARD = 0.06  # seconds of peers' charges that are on their way
 OPEN_RISK = 0.04  # of passing a limit on requests open, which a request may take
 RESERVE = 1.0  # of the burst: the part in which a large set lets in by chance
-NEWS = 0.6  # of the burst by which the set must be wrong: a telling takes most of what a hub may send in a second
+NEWS = 0.6  # of the burst by which the set must be wrong: a telling takes most of a second's datagrams
 FAILURES_TOLD = 2  # in one message, the latest
 SPENT = -1  # in place of a period: the level, for the set
 TOGETHER, MEETING = 1.0, 3.0  # seconds between the starts of gateways that began as one; to meet in
@@ -212,7 +212,8 @@
             self._book(held.key, account, units, self.period)
 
     def _refuse(self, held: Held, wait: float, why: str) -> None:
-        self.actions.append(api.Refuse(held.event.id, min(max(wait, 0.0), self.settings.max_retry_after), why))
+        wait = min(max(wait, 0.0), self.settings.max_retry_after)
+        self.actions.append(api.Refuse(held.event.id, wait, why))
 
     # Gossip
 
@@ -363,18 +364,19 @@
         return None, 0.0
 
     def _candidates(self) -> Iterator[tuple[bool, list[Server]]]:
-        """All where gateways know each other's loads. Else a few drawn, since many that rank by little of their own
-        would herd, of the hosts that this gateway keeps to; then of all; then ejected ones too: with most ejected
-        the rest would fall."""
+        """All where gateways know each other's loads. Else a few drawn, since many that rank by little of
+        their own would herd, of the hosts that this gateway keeps to; then of all; then ejected ones too: with
+        most ejected the rest would fall."""
         servers = list(self.servers.values())
         if not self.small and len(servers) > CANDIDATES:
-            for rescue, some in ((False, self._near()), (False, self._near()), (False, servers), (True, servers)):
+            near = self._near()
+            for rescue, some in ((False, near), (False, near), (False, servers), (True, servers)):
                 yield rescue, self.random.sample(some, min(len(some), CANDIDATES))
         yield False, servers
         yield True, servers
 
     def _near(self) -> list[Server]:
-        """The hosts that this gateway keeps to: as many of the warm, and of the cold, as it can see enough of."""
+        """The hosts that this gateway keeps to: of the warm and of the cold so many that it sees each often."""
         if self.now >= self.near_until:
             self.near_until = self.now + PERIOD
             up = sorted((s for s in self.servers.values() if s.entry.state == "up"), key=lambda s: s.tag)
@@ -470,7 +472,8 @@
             # What broke or failed at once did not wait: a lost zone or a bad host is no overload.
             waited = waited or event.status in ("full", "timeout")
             name = "" if event.status in (*NEVER_RAN, "timeout") else kind.name
-            self._failure(server, name, EJECT_AFTER if event.status == "connect_failed" and not self.small else 1.0)
+            refused = event.status == "connect_failed" and not self.small
+            self._failure(server, name, EJECT_AFTER if refused else 1.0)
             if event.status != "full" and not self.small:  # one that is short must not eject itself so
                 self.failed[server.tag, [*self.classes, ""].index(name)] = self.now
         # The middle of what answers waited, not the mean: a few slow or failing servers are no overload.
