Every host is used by four limiters at least, however many hosts there are

Need: found in review. Twelve hosts for each limiter leave most hosts without any in a fleet of nine limiters and five hundred hosts: 108 at most would get work while the rest stand idle.

Change: a stretch is twelve hosts or so many that each host is in the stretches of four limiters, whichever is more; the figures stand in subset.py, which decides it from the list and the fleet's size in the settings.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -30,7 +30,6 @@
 TOGETHER, MEETING = 1.0, 3.0  # seconds between the starts of gateways that began as one; to meet in
 SILENT = 2.0  # periods without a word before a peer counts as silent
 WIDTH = 2.0  # requests that a server of middling weight is taken to work on at once
-KEEPS_TO = 12  # warm servers, and as many cold, that a gateway of a large fleet sends to while they serve
 CANDIDATES = 4  # servers compared for a request, where loads are not known
 GAIN = 0.1  # of the newest sample in a learned mean
 PRESSURE = 0.35  # a first try is refused when the shortest wait passes this share of the tightest aim
@@ -376,13 +375,14 @@
         yield True, servers
 
     def _near(self) -> list[Server]:
-        """The hosts that this gateway keeps to, so many of the warm and of the cold."""
+        """The servers that this gateway keeps to while they serve, of the warm and of the cold."""
         if self.now >= self.near_until:
             self.near_until = self.now + PERIOD
             up = sorted((s for s in self.servers.values() if s.entry.state == "up"), key=lambda s: s.tag)
-            cold = [s for s in up if s.cold(self.now, self.settings)]
-            warm = [s for s in up if not s.cold(self.now, self.settings)]
-            self.near = stretch(warm, self.settings.me, KEEPS_TO) + stretch(cold, self.settings.me, KEEPS_TO)
+            self.near = []
+            for cold in (False, True):
+                kind = [s for s in up if s.cold(self.now, self.settings) == cold]
+                self.near += stretch(kind, self.settings.me, self.settings.gateways)
         return self.near
 
     def _fit(self, server: Server, kind: str) -> bool:
--- a/hazelhollow/subset.py
+++ b/hazelhollow/subset.py
@@ -12,11 +12,14 @@
 from typing import TypeVar
 
 T = TypeVar("T")
+LEAST = 12  # hosts that a gateway uses: enough to choose from, and few enough to be seen often
+SEEN_BY = 4  # gateways that use a host at least, or hosts beyond all stretches would stand idle
 GOLDEN = (5**0.5 - 1) / 2
 
 
-def stretch(hosts: Sequence[T], number: int, size: int) -> list[T]:
-    """`size` of the hosts, which stand in an order that all gateways share, or all if there are no more than that."""
+def stretch(hosts: Sequence[T], number: int, gateways: int) -> list[T]:
+    """Those that gateway `number` of so many uses of the hosts, which stand in an order that all gateways share."""
+    size = max(LEAST, -(-SEEN_BY * len(hosts) // gateways))
     if len(hosts) <= size:
         return list(hosts)
     start = int(number * GOLDEN % 1.0 * len(hosts))
