The backoff moves from the store's link to net, where discovery can use it too

Need: a limiter asks a failing discovery again after a fixed 0.1 s; the store's link has a bounded, jittered backoff, and the platform's path may not import the store. Change: the class moves, as it is.

--- a/hazelhollow/store/exchange.py
+++ b/hazelhollow/store/exchange.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from hazelhollow.net.backoff import Backoff
 from hazelhollow.operator.records import Store as Terms
 from hazelhollow.store import link as link_
 from hazelhollow.store.books import Books
@@ -28,7 +29,7 @@
         self.counts = dict.fromkeys(("connected", "broken", "answered", "failed", "late", "not_asked"), 0)
         self.slowest_ms = 0.0
         self._random = random.Random(seed)
-        self._backoff = link_.Backoff(terms.retry_least, terms.retry_most)
+        self._backoff = Backoff(terms.retry_least, terms.retry_most)
         self._books_at = 0.0
 
     # The connection
--- a/hazelhollow/store/link.py
+++ b/hazelhollow/store/link.py
@@ -240,20 +240,3 @@
         return answer if finite and named else None
     whole = answer[0] != "ok" or (len(answer) >= 6 and len(answer) % 3 == 0)
     return answer if finite and whole and len(answer) >= 3 else None
-
-
-class Backoff:
-    """Seconds to wait before the next attempt to connect: doubled each time up to a bound, and drawn between half and whole
-    of that, so that limiters which lost the store together do not come back together."""
-
-    def __init__(self, least: float, most: float) -> None:
-        self.least, self.most, self.failures = least, most, 0
-
-    def next(self, draw: float) -> float:
-        """`draw`: a random number from 0 to 1."""
-        wait = min(self.least * 2.0 ** min(self.failures, 30), self.most)
-        self.failures += 1
-        return wait * (0.5 + 0.5 * draw)
-
-    def worked(self) -> None:
-        self.failures = 0
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,6 +14,7 @@
 from hazelhollow import interface as api
 from hazelhollow.bench import store as bench
 from hazelhollow.bench.checker import Bucket
+from hazelhollow.net.backoff import Backoff
 from hazelhollow.operator import attach, load, records
 from hazelhollow.standins.redis import faults
 from hazelhollow.standins.redis.server import Server
@@ -152,7 +153,7 @@
 
 
 def test_waits_double_to_their_bound_and_are_drawn() -> None:
-    wait = link_.Backoff(0.05, 2.0)
+    wait = Backoff(0.05, 2.0)
     assert [wait.next(1.0) for _ in range(8)] == [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.0, 2.0]
     assert wait.next(0.0) == 1.0
     wait.worked()
