Operator address with check and vars; a new version listens beside the old

Change: net/calls.py reads one call from bytes; net/operator.py answers it or gives the caller up within 0.5 s, at most 32 callers at once, troubles logged five lines a second. vars: answers by class where the limiter gives them, dispatches where a leg is written whole, requests open, listed and avoided servers, reloads. Client and peer addresses are bound with SO_REUSEPORT; a limiter that leaves takes what waits in its listener's queue before closing it.

--- a/hazelhollow/config.py
+++ b/hazelhollow/config.py
@@ -29,6 +29,7 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     counter: Address | None = None
+    operator: Address | None = None  # the operator address
     known: Mapping[str, Any] | None = None
     memory_mb: int = 192
     sockets: int = 1024
@@ -53,7 +54,7 @@
         raise ConfigError(f"{path}: {error}") from None
     if not isinstance(document, dict):
         raise ConfigError(f"{path}: not a JSON object")
-    for key in ("name", "listen") if again else ("name", "listen", "discovery"):
+    for key in ("name", "listen", "operator") if again else ("name", "listen", "discovery", "operator"):
         if f"RELAY_{key.upper()}" in environment:
             document[key] = environment[f"RELAY_{key.upper()}"]
     try:
@@ -74,6 +75,7 @@
         peer_listen=_optional(fields.text("peer_listen", "")),
         peers=tuple(address(text) for text in fields.texts("peers")),
         counter=_optional(fields.text("counter", "")),
+        operator=_optional(fields.text("operator", "")),
         known=fields.raw("known"),
         memory_mb=fields.part("limits").integer("memory_mb", 192),
         sockets=limits.integer("sockets", 1024),
--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -385,6 +385,10 @@
                 self.near += stretch(kind, self.settings.me, self.settings.gateways)
         return self.near
 
+    def avoided(self) -> set[str]:
+        """The listed servers that get nothing new now: draining, or ejected for every class."""
+        return {name for name, s in self.servers.items() if s.entry.state != "up" or not self._fit(s, "")}
+
     def _fit(self, server: Server, kind: str) -> bool:
         """It may fail one class and serve the rest. Its term over, it comes back by one attempt at a time."""
         known = [server.health[name] for name in ("", kind) if name in server.health] if server.health else []
--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -162,6 +162,7 @@
         self._doomed: float | None = None  # since when only what is owed is still answered
         self.idle_since = now
         self.finishing = False
+        self.awaited = False  # its first command is waited for, even by a limiter that leaves
 
     def run(self) -> None:
         ending = Ending.BROKEN_HERE
@@ -181,7 +182,7 @@
 
     def resting(self) -> bool:
         """Between requests, so that it may be closed: also none waits unread, which the client would have lost."""
-        return self._settled() and self._parser.idle() and self._driver.alive()
+        return not self.awaited and self._settled() and self._parser.idle() and self._driver.alive()
 
     def _settled(self) -> bool:
         return not self._slots and not self._driver.out
@@ -306,7 +307,7 @@
             slot = Slot(self)
             self._slots.append(slot)
             self._acquirer.works(self)
-            self._begun = None
+            self._begun, self.awaited = None, False
             self._command(words, slot)
             if self._bad >= MOST_BAD:
                 raise resp.ProtocolError("too many bad commands")
@@ -365,6 +366,8 @@
         scheduler.at(scheduler.clock() + TIDY, self._tidy)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # A new version starts beside the running one and listens at the same address before this one leaves.
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self._sock.setblocking(False)
         self._sock.bind(listen)
         self._sock.listen(BACKLOG)
@@ -377,6 +380,9 @@
         else:
             self._waiting.append(call)
 
+    def is_ready(self) -> bool:
+        return self._ready
+
     def ready(self) -> None:
         self._ready = True
         waiting, self._waiting = self._waiting, []
@@ -470,5 +476,19 @@
             session.finish()
 
     def close(self) -> None:
+        """What waits in the listener's queue is taken in the same turn in which it closes: closed with it, each of
+        those connections would be reset, though the client had been let in by the system."""
+        while len(self.sessions) < self._most + BATCH:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                break
+            self.stats.accepted += 1
+            session = Session(self, stream.Stream(self.scheduler, sock, MOST_OUT))
+            self.sessions.add(session)
+            self._silent[session] = None
+            session.awaited = True  # its client has been let in and is owed an answer to what it sends
+            session.finish()
+            self.scheduler.spawn(session.run, name="session")
         self.scheduler.forget(self._sock.fileno())
         self._sock.close()
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/issuer.py
@@ -204,6 +204,7 @@
             line.stream.close(ending)
         line.leg = None
         if leg:
+            self._stats.dispatches += whole
             self._stats.endings[ending] += 1
             leg.finish(Result(outcome(ending, whole)))
 
@@ -275,6 +276,7 @@
                 return Ending.MALFORMED
             leg, line.leg, line.partial_since = line.leg, None, 0.0
             assert leg
+            self._stats.dispatches += 1
             line.settled_at = self._scheduler.clock() + SETTLE if result.status == "ok" else 0.0
             if line.parser.idle():
                 self._rest_line(line)
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -75,12 +75,14 @@
         self._stats.requests += 1
         if len(self.open) >= self._most_open:
             self._stats.declined += 1
+            self._stats.reply(request.class_name, "overload")
             caller.declined(0)
             return None
         if request.id in self.open:
             # Every request has an id of its own, a retry too: this one is somebody else's. The one who came first
             # gets the answer, and what the host would say to a second of that name is nobody's.
             self._stats.failed += 1
+            self._stats.reply(request.class_name, "error")
             caller.failed()
             return None
         one = Open(request.id, ask, caller, self._scheduler.clock() + request.patience)
@@ -91,6 +93,10 @@
         one.timer = self._scheduler.at(one.deadline, self._expire, one)
         return one
 
+    def concurrent(self) -> int:
+        """Requests taken and not answered yet."""
+        return sum([not one.answered for one in self.open.values()])
+
     def gone(self, one: Open) -> None:
         """The client has left: nothing is owed any more."""
         if not one.answered:
@@ -124,6 +130,7 @@
         if result.status == "ok" and not one.answered:
             one.answered = True
             self._stats.served += 1
+            self._stats.reply(one.ask.request.class_name, "success")
             self._stats.ok_seconds += now - leg.started
             one.caller.served(result.value)
         event = api.Outcome(
@@ -177,11 +184,13 @@
             if one:
                 self._stats.declined += 1
                 self._stats.declines[action.why] += 1
+                self._stats.reply(one.ask.request.class_name, "overload")
                 one.caller.declined(math.ceil(action.retry_after * 1000))
         elif isinstance(action, api.Fail):
             one = self._answer(action.id)
             if one:
                 self._stats.failed += 1
+                self._stats.reply(one.ask.request.class_name, "error")
                 one.caller.failed()
         elif isinstance(action, api.SetTimer):
             self._scheduler.at(now + action.delay, self._timer, action.name)
@@ -225,6 +234,7 @@
         """What was taken is answered, whatever the module does."""
         log.error("request %s: %s", one.id, why)
         self._stats.rescued += 1
+        self._stats.reply(one.ask.request.class_name, "error")
         one.answered = True
         one.caller.failed()
         self._handle(api.ClientGone(one.id), one)
--- /dev/null
+++ b/hazelhollow/net/operator.py
@@ -0,0 +1,146 @@
+"""The operator address: one call a connection, answered at once or given up within a bound."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import orjson
+
+from hazelhollow.net import calls, stream
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net.ending import Ending
+from hazelhollow.net.stats import Stats
+
+WITHIN = 0.5  # seconds from a connection to its whole call; answers are due within 1 s
+OUT_WITHIN = 0.4  # seconds in which the caller is to take the answer
+MOST_CALLERS = 32  # connections at once; one more ends the oldest
+MOST_OUT = 1 << 20
+LINES_A_SECOND = 5.0  # of the log, for troubles of callers
+
+log = logging.getLogger(__name__)
+
+
+class Desk(Protocol):
+    """What the calls ask of the limiter."""
+
+    def ready(self) -> bool: ...
+    def figures(self) -> dict[str, Any]: ...
+    def set_down(self, server: str) -> str | None:
+        """None, or why it cannot be."""
+
+    def set_up(self, server: str) -> str | None: ...
+
+
+class Sparse:
+    """A log of troubles that a crowd of callers cannot fill: so many lines a second, and a count of the others."""
+
+    def __init__(self, clock: Callable[[], float], per_second: float = LINES_A_SECOND) -> None:
+        self._clock, self._rate = clock, per_second
+        self._allowed, self._at, self.untold = per_second, clock(), 0
+
+    def warning(self, text: str, *args: object) -> bool:
+        now = self._clock()
+        self._allowed = min(self._rate, self._allowed + (now - self._at) * self._rate)
+        self._at = now
+        if self._allowed < 1.0:
+            self.untold += 1
+            return False
+        self._allowed -= 1.0
+        untold, self.untold = self.untold, 0
+        log.warning(text + (" (%d more not logged)" if untold else ""), *args, *((untold,) if untold else ()))
+        return True
+
+
+def answer(desk: Desk, call: calls.Call) -> bytes:
+    """The whole answer to one call."""
+    if call.verb == "check":
+        return b"done ready\n" if desk.ready() else b"error not ready yet\n"
+    if call.verb == "vars":
+        return b"done\n" + orjson.dumps(desk.figures()) + b"\nend\n"
+    why = desk.set_down(call.server) if call.verb == "set-down" else desk.set_up(call.server)
+    if why:
+        return b"error %b\n" % why.encode()
+    return b"done %b %b\n" % (call.verb.encode(), call.server.encode())
+
+
+class Address:
+    """The listening socket and its callers."""
+
+    def __init__(self, scheduler: sch.Scheduler, stats: Stats, desk: Desk, listen: tuple[str, int]) -> None:
+        self._scheduler, self._stats, self._desk = scheduler, stats, desk
+        self._callers: dict[stream.Stream, None] = {}  # the oldest first
+        self._log = Sparse(scheduler.clock)
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(listen)
+        self._sock.listen(64)
+        self.address: tuple[str, int] = self._sock.getsockname()
+
+    def run(self) -> None:
+        while True:
+            self._scheduler.wait(self._sock.fileno(), sch.READ)
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                self._scheduler.sleep(0.05)  # no descriptor now: poll would say at once that a caller waits
+                continue
+            if len(self._callers) >= MOST_CALLERS:
+                oldest = next(iter(self._callers))
+                self._stats.operator_endings[Ending.NO_DESCRIPTOR] += 1
+                oldest.close(Ending.NO_DESCRIPTOR)
+            driver = stream.Stream(self._scheduler, sock, MOST_OUT)
+            self._callers[driver] = None
+            self._scheduler.spawn(self._caller, driver, name="operator call")
+
+    def _caller(self, driver: stream.Stream) -> None:
+        ending = Ending.BROKEN_HERE
+        try:
+            ending = self._serve(driver)
+        finally:
+            self._callers.pop(driver, None)
+            self._stats.operator_endings[ending] += 1
+            driver.close(ending)
+
+    def _serve(self, driver: stream.Stream) -> Ending:
+        until, parser = self._scheduler.clock() + WITHIN, calls.Parser()
+        try:
+            while True:
+                bits = driver.wait(until, sch.READ)
+                if driver.ending:
+                    return driver.ending
+                if bits == sch.TIMEOUT:
+                    why = "half a call" if parser.partial() else "no call"
+                    return self._refuse(driver, f"{why} within {WITHIN} s", Ending.TIMED_OUT)
+                data = driver.read(calls.MOST_LINE)
+                if isinstance(data, Ending):
+                    return data
+                call = parser.feed(data) if data else None
+                if call:
+                    break
+        except calls.CallError as error:
+            return self._refuse(driver, str(error), Ending.MALFORMED)
+        self._stats.operator_calls[call.verb] += 1
+        driver.write(answer(self._desk, call))
+        return self._finish(driver, Ending.CLOSED)
+
+    def _refuse(self, driver: stream.Stream, why: str, ending: Ending) -> Ending:
+        self._log.warning("operator address: %s", why)
+        driver.write(b"error %b\n" % why.encode())
+        return self._finish(driver, ending)
+
+    def _finish(self, driver: stream.Stream, ending: Ending) -> Ending:
+        """The answer goes out, within a bound; what the caller says meanwhile is not read."""
+        until = self._scheduler.clock() + OUT_WITHIN
+        driver.flush()
+        while driver.out and driver.ending is None:
+            if driver.wait(until, 0) == sch.TIMEOUT:
+                return Ending.STALLED
+        return ending
+
+    def close(self) -> None:
+        self._scheduler.forget(self._sock.fileno())
+        self._sock.close()
--- a/hazelhollow/net/peers.py
+++ b/hazelhollow/net/peers.py
@@ -29,6 +29,7 @@
         self._numbers = {address: number for number, address in enumerate(peers)}
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # a new version beside this one
         self._sock.bind(listen)
         self.address: tuple[str, int] = self._sock.getsockname()
 
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -8,7 +8,7 @@
 import socket
 import sys
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from hazelhollow import interface as api
 from hazelhollow.config import Config, ConfigError
@@ -17,6 +17,7 @@
 from hazelhollow.net.acquirer import KEPT_SHARE, MEMORY_SHARE, Acquirer, Terms
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Decisions, Limiter
+from hazelhollow.net.operator import Address
 from hazelhollow.net.peers import Peers
 from hazelhollow.net.routing import Table, Watch
 from hazelhollow.net.stats import Stats
@@ -45,7 +46,8 @@
         self.issuers = Issuers(
             scheduler, self.stats, config.connect_timeout, config.conn_idle, most_lines=room * 2 // 5
         )
-        decisions: Decisions = Gateway(config.settings, config.seed)
+        self.gateway = Gateway(config.settings, config.seed)
+        decisions: Decisions = self.gateway
         self.attached = attached
         if attached:
             decisions = attached.decisions(decisions, config.settings, config.seed, scheduler.clock())
@@ -72,6 +74,7 @@
             self.issuers.spare,
         )
         self.leaving = False
+        self.operator = Address(scheduler, self.stats, Desk(self), config.operator) if config.operator else None
 
     def start(self) -> None:
         if self.attached:
@@ -80,6 +83,8 @@
         if self.limiter.peers:
             self.scheduler.spawn_lasting(self.limiter.peers.run, "peers")
         self.scheduler.spawn_lasting(self.acquirer.run, "acquirer")
+        if self.operator:
+            self.scheduler.spawn_lasting(self.operator.run, "operator")
         self.scheduler.at(self.scheduler.clock() + READY_WITHIN, self.acquirer.ready)
 
     def _changed(self, event: api.Servers) -> None:
@@ -96,8 +101,10 @@
         try:
             config = reread()
         except ConfigError as error:
+            self.stats.reload_failure += 1
             log.error("the configuration stays as it was: %s", error)
             return
+        self.stats.reload_success += 1
         log.info("reloaded: discovery at %s:%d", *config.discovery)
         self.watch.move(config.discovery)
 
@@ -131,6 +138,36 @@
         self.scheduler.stop()
 
 
+class Desk:
+    """What the operator address asks of this limiter."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    def ready(self) -> bool:
+        return self._service.acquirer.is_ready() and not self._service.leaving
+
+    def figures(self) -> dict[str, Any]:
+        service = self._service
+        stats, listed = service.stats, service.table.entries
+        targets = {name for name, entry in listed.items() if entry.state != "gone"}
+        return {
+            "replies": {kind: dict(counts) for kind, counts in stats.replies.items()},
+            "dispatches": stats.dispatches,
+            "concurrent": service.limiter.concurrent(),
+            "targets": len(targets),
+            "targets_disabled": len(targets & service.gateway.avoided()),
+            "reload_success": stats.reload_success,
+            "reload_failure": stats.reload_failure,
+        }
+
+    def set_down(self, server: str) -> str | None:
+        return "set-down is not served by this version"
+
+    def set_up(self, server: str) -> str | None:
+        return "set-up is not served by this version"
+
+
 def serve(
     config: Config, reread: Callable[[], Config], attached: Attachment | None = None, counters: float | None = None
 ) -> None:
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -24,12 +24,26 @@
         self.tables = self.watches_lost = 0  # routing
         self.told = self.heard = self.junk = self.untold = 0  # peers
         self.errors = 0
+        self.replies: dict[str, Counter[str]] = {}  # by class: success, overload, error
+        self.dispatches = 0  # attempts written whole to issuer hosts
+        self.reload_success = self.reload_failure = 0
+        self.operator_calls: Counter[str] = Counter()
+        self.operator_endings: Counter[Ending] = Counter()
         self.store: dict[str, dict[str, Any]] = {}  # the shared store, where an operator file has one
 
+    def reply(self, kind: str, what: str) -> None:
+        """A final answer to a request of that class: `success`, `overload` or `error`."""
+        counts = self.replies.get(kind)
+        if counts is None:
+            counts = self.replies[kind] = Counter(success=0, overload=0, error=0)
+        counts[what] += 1
+
     def text(self) -> str:
         values: dict[str, Any] = {}
         for name, value in vars(self).items():
-            if isinstance(value, Counter):
+            if name == "replies":
+                value = {kind: dict(counts) for kind, counts in value.items()}
+            elif isinstance(value, Counter):
                 value = {str(getattr(key, "name", key)).lower(): count for key, count in value.items()}
             values[name] = value
         return orjson.dumps(values).decode()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -37,6 +37,13 @@
 HEAD = "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
 
 
+def moment(sock: socket.socket) -> None:
+    """For the kernel. Not select(): a run of many stages may hold more descriptors than that can name."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    poll.poll(2)
+
+
 class Stage:
     """A whole limiter with a clock of its own, and all the parties round it."""
 
@@ -111,9 +118,11 @@
                 except BlockingIOError:
                     if len(ends) >= int(number or 1):
                         break
-                    select.select([self.listeners[name]], [], [], 0.002)
+                    moment(self.listeners[name])
         elif not ends:
-            ends.append(socket.create_connection(self.service.acquirer.address))
+            operator = self.service.operator
+            address = operator.address if name.startswith("op") and operator else self.service.acquirer.address
+            ends.append(socket.create_connection(address))
             ends[0].setblocking(False)
         assert ends, "no connection"
         return ends[int(number or 0) - 1]
@@ -149,7 +158,7 @@
                 over, got = not data, got + data
             except BlockingIOError:
                 if turn < 5 or words != "nothing":
-                    select.select([end], [], [], 0.002)
+                    moment(end)
             except ConnectionResetError:
                 over = True
             if over or (pattern and re.fullmatch(pattern, got, re.S)):
--- /dev/null
+++ b/tests/test_operator_address.py
@@ -0,0 +1,150 @@
+"""The operator address: its calls by tables and by every cut, and callers that are slow, silent or wrong."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hazelhollow.net import calls
+from hazelhollow.net.operator import MOST_CALLERS, WITHIN, Sparse
+from tests.scenario import Stage
+
+GOOD = [
+    (b"check\n", calls.Call("check")),
+    (b"vars\r\n", calls.Call("vars")),
+    (b"set-down s-1\n", calls.Call("set-down", "s-1")),
+    (b"SET-UP  s-2 \n", calls.Call("set-up", "s-2")),
+]
+BAD = [
+    (b"\n", "an empty line"),
+    (b"checks\n", "no call 'checks'"),
+    (b"check now\n", "check takes nothing after it"),
+    (b"set-down\n", "set-down takes one server id"),
+    (b"set-down a b\n", "set-down takes one server id"),
+    (b"vars \xff\n", "plain ASCII"),
+    (b"x" * calls.MOST_LINE, "a line longer than"),
+    (b"check" + b" " * calls.MOST_LINE + b"\n", "a line longer than"),
+]
+
+
+@pytest.mark.parametrize(("line", "call"), GOOD)
+def test_calls_are_read(line: bytes, call: calls.Call) -> None:
+    assert calls.Parser().feed(line) == call
+
+
+@pytest.mark.parametrize(("line", "why"), BAD)
+def test_what_is_no_call_is_named(line: bytes, why: str) -> None:
+    with pytest.raises(calls.CallError, match=why):
+        calls.Parser().feed(line)
+
+
+@given(st.sampled_from(GOOD), st.lists(st.integers(0, 40), max_size=6), st.binary(max_size=30))
+def test_every_cut_of_a_call_is_the_same_call(good: tuple[bytes, calls.Call], cuts: list[int], after: bytes) -> None:
+    line, call = good
+    parser, found, places = calls.Parser(), None, sorted({min(c, len(line)) for c in cuts})
+    for start, end in zip([0, *places], [*places, len(line)], strict=True):
+        found = parser.feed(line[start:end])
+        assert found is None or end == len(line)
+    assert found == call
+    assert parser.feed(after) == call  # what comes after the line is not read
+
+
+def test_a_part_of_a_line_is_no_call_yet() -> None:
+    parser = calls.Parser()
+    assert parser.feed(b"set-do") is None and parser.partial()
+
+
+def stage() -> Stage:
+    one = Stage(hosts=1, operator=("127.0.0.1", 0))
+    one.play("wait 0.6")  # then it serves from the list that it was given
+    return one
+
+
+def call(stage: Stage, line: bytes, advance: float = 0.0) -> bytes:
+    """The whole answer, up to the end of the connection."""
+    assert stage.service.operator
+    end = socket.create_connection(stage.service.operator.address)
+    end.setblocking(False)
+    end.sendall(line)
+    return drain(stage, end, advance)
+
+
+def drain(stage: Stage, end: socket.socket, advance: float = 0.0) -> bytes:
+    got = b""
+    for turn in range(400):
+        if advance and turn == 20:
+            stage.now += advance
+        stage.settle(1)
+        try:
+            data = end.recv(1 << 20)
+        except BlockingIOError:
+            continue
+        except ConnectionResetError:
+            break
+        if not data:
+            break
+        got += data
+    end.close()
+    return got
+
+
+def figures(stage: Stage) -> dict[str, Any]:
+    head, document, last, rest = call(stage, b"vars\n").split(b"\n")
+    assert (head, last, rest) == (b"done", b"end", b"")
+    found: dict[str, Any] = orjson.loads(document)
+    return found
+
+
+def test_check_says_yes_once_the_limiter_serves() -> None:
+    assert call(stage(), b"check\n") == b"done ready\n"
+
+
+def test_vars_gives_every_figure_of_the_page() -> None:
+    found = figures(stage())
+    assert set(found) == {
+        "replies", "dispatches", "concurrent", "targets", "targets_disabled", "reload_success", "reload_failure",
+    }  # fmt: skip
+    assert found["targets"] == 1 and found["concurrent"] == found["dispatches"] == 0
+
+
+def test_a_request_served_is_counted_by_class_and_its_dispatch() -> None:
+    from tests.test_scenarios import VALUE, ask
+
+    one = stage()
+    one.play(f"a send {ask(1)}\ns1 expect {ask(1)}\ns1 send {VALUE}\na expect $2\\r\\nhi")
+    found = figures(one)
+    assert found["replies"]["look"] == {"success": 1, "overload": 0, "error": 0}
+    assert found["dispatches"] == 1
+
+
+@pytest.mark.parametrize(("line", "answer"), [(b"", b"error no call"), (b"chec", b"error half a call")])
+def test_a_caller_that_does_not_finish_is_told_and_closed(line: bytes, answer: bytes) -> None:
+    assert call(stage(), line, advance=WITHIN).startswith(answer)
+
+
+def test_a_wrong_call_is_told_at_once() -> None:
+    assert call(stage(), b"reboot\n").startswith(b"error no call 'reboot'")
+
+
+def test_silent_callers_do_not_hold_back_a_check() -> None:
+    one = stage()
+    assert one.service.operator
+    silent = [socket.create_connection(one.service.operator.address) for _ in range(MOST_CALLERS + 8)]
+    one.settle()
+    assert call(one, b"check\n") == b"done ready\n"
+    for end in silent:
+        end.close()
+
+
+def test_the_log_of_troubles_has_a_bound() -> None:
+    now = [0.0]
+    sparse = Sparse(lambda: now[0], per_second=5.0)
+    said = sum(sparse.warning("x") for _ in range(100))
+    now[0] = 1.0
+    said_later = sum(sparse.warning("x") for _ in range(100))
+    assert said == 5 and said_later == 5
