Settings read again at SIGHUP; bad commands in a row get one answer each, no more

A class whose effect changes brings commands that the old settings rule out; after sixteen such in a row the connection ended with one error line more than it had commands, and the client took it for the answer to its next one (acquirer._commands raised a protocol error that added a slot). Settings were not read again at all: SIGHUP moved discovery alone.

Change: the sixteenth bad command ends the connection without another answer. At SIGHUP new classes, effects, deadlines and attempts reach the module (Memory.retune) and the client's terms; an open request keeps the class and the attempts it came with (Held.most). A file that is broken, or that changes plans or the number of limiters, leaves all as it was and counts reload_failure. Deadlines not above zero and classes named twice are refused.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -47,7 +47,7 @@
 
 def may_send(held: Held, server: Server, settings: api.Settings, now: float) -> bool:
     """The gate of rule 2 for a further attempt."""
-    over = held.ended or now >= held.deadline or len(held.attempts) >= settings.max_attempts
+    over = held.ended or now >= held.deadline or len(held.attempts) >= held.most
     if over or (held.out() and not settings.parallel_tries):
         return False
     ran = [a for a in held.attempts if a.may_have_run]
@@ -80,6 +80,10 @@
         rate = INTAKE_SHARE * settings.messages_in_per_s
         self.messages = Store(rate, rate * PERIOD, 0.0, 0.0)  # how many may be sent
 
+    def retune(self, settings: api.Settings) -> None:
+        super().retune(settings)
+        self.tight = min(c.aim for c in settings.classes)
+
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
         self.actions = []
         if not self.life:
@@ -149,7 +153,7 @@
         spread = max(1, min(event.spread, self.settings.gateways))
         account = self._account(key, plan, event.first_gateway, spread)
         account.used = self.now
-        held = Held(event, kind, key, account, self.now)
+        held = Held(event, kind, key, account, self.now, self.settings.max_attempts)
         self.units[kind.name] += GAIN * (event.units - self.units[kind.name])
         held.inside = self._inside(held)
         if plan.ceiling_rate and account.ceiling.fill(self.now) < event.units:
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -76,6 +76,8 @@
             "max_attempts: less than one": self.max_attempts < 1,
             "messages_in_per_s: not above zero": self.peers and self.messages_in_per_s <= 0,
             "classes: none, or an aim not above zero": min((c.aim for c in self.classes), default=0) <= 0,
+            "classes: a deadline not above zero": any(c.deadline <= 0 for c in self.classes),
+            "classes: a name that comes twice": len({c.name for c in self.classes}) != len(self.classes),
             "plans: a rate without a burst": any(p.rate < 0 or p.rate > 0 >= p.burst for p in self.plans),
         }
         for trouble in [t for t, so in troubles.items() if so]:
--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -310,7 +310,10 @@
             self._begun, self.awaited = None, False
             self._command(words, slot)
             if self._bad >= MOST_BAD:
-                raise resp.ProtocolError("too many bad commands")
+                # Each bad command has had its answer: one more would be taken for the answer to the next.
+                self._acquirer.stats.malformed += 1
+                self._doomed = self._acquirer.scheduler.clock()
+                return
         self._more = True
 
     def _command(self, words: list[bytes], slot: Slot) -> None:
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -46,6 +46,7 @@
         self.issuers = Issuers(
             scheduler, self.stats, config.connect_timeout, config.conn_idle, most_lines=room * 2 // 5
         )
+        self.settings = config.settings
         self.gateway = Gateway(config.settings, config.seed)
         decisions: Decisions = self.gateway
         self.attached = attached
@@ -100,11 +101,18 @@
             self.attached.reload()
         try:
             config = reread()
+            _changeable(self.settings, config.settings)
         except ConfigError as error:
             self.stats.reload_failure += 1
             log.error("the configuration stays as it was: %s", error)
             return
         self.stats.reload_success += 1
+        if config.settings != self.settings:
+            # Requests that are open keep the class and the attempts that they came with; new ones take the new.
+            self.settings = config.settings
+            self.gateway.retune(config.settings)
+            self.acquirer.terms = Terms(config.settings)
+            log.info("settings: classes %s", ", ".join(c.name for c in config.settings.classes))
         log.info("reloaded: discovery at %s:%d", *config.discovery)
         self.watch.move(config.discovery)
 
@@ -138,6 +146,12 @@
         self.scheduler.stop()
 
 
+def _changeable(old: api.Settings, new: api.Settings) -> None:
+    """What a running limiter cannot take: who it is among the others, and the plans that its budgets belong to."""
+    if (old.me, old.gateways, old.plans) != (new.me, new.gateways, new.plans):
+        raise ConfigError("plans, position and the number of limiters change with a restart only")
+
+
 class Desk:
     """What the operator address asks of this limiter."""
 
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -190,8 +190,9 @@
 class Held:
     """A request that is owed its final answer, or whose attempts are still out."""
 
-    def __init__(self, event: api.Request, kind: api.RequestClass, key: str, account: Account, now: float):
+    def __init__(self, event: api.Request, kind: api.RequestClass, key: str, account: Account, now: float, most: int):
         self.event, self.kind, self.key, self.account = event, kind, key, account
+        self.most = most  # attempts, as the settings said when it came: they may say fewer later
         self.came, self.aim_at, self.deadline = now, now + kind.aim, now + event.patience
         self.attempts: list[Attempt] = []
         self.inside = self.ended = False
@@ -234,6 +235,15 @@
         self.now, self.period, self.flushed, self.life = 0.0, 0, 0, ""
         self.actions: list[api.Action] = []
 
+    def retune(self, settings: api.Settings) -> None:
+        """Settings read again: classes come, go or change, attempts may be fewer. What is open keeps its class and
+        its attempts; what was learned of a class that stays is kept."""
+        self.settings, self.classes = settings, {c.name: c for c in settings.classes}
+        for c in settings.classes:
+            self.units.setdefault(c.name, 1.0)
+            self.work.setdefault(c.name, c.aim / 6)
+            self.patience.setdefault(c.name, 0.0)
+
     def end(self, request: str) -> None:
         """Nothing is owed any more."""
         if request in self.held:
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,116 @@
+"""Settings read again at SIGHUP: what changes for new requests, what stays for open ones, and broken files."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hazelhollow import config as cfg
+from hazelhollow import interface as api
+from hazelhollow.config import ConfigError
+from tests.scenario import BUY, LOOK, Stage
+from tests.test_gateway import answer, ask, make, only
+
+EXAMPLE = Path(__file__).parent.parent / "deploy" / "example.json"
+
+
+def document() -> dict[str, Any]:
+    loaded: dict[str, Any] = json.loads(EXAMPLE.read_text())
+    return loaded
+
+
+def broken(kind: str) -> str:
+    """The text of one of the files that a reload must turn down."""
+    whole = document()
+    grades = whole["settings"]["grades"]
+    if kind == "empty":
+        return ""
+    if kind == "cut off":
+        return json.dumps(whole)[:200]
+    if kind == "no settings":
+        del whole["settings"]
+    elif kind == "a class without deadline":
+        del grades[0]["deadline"]
+    elif kind == "deadline zero":
+        grades[0]["deadline"] = 0
+    elif kind == "deadline below zero":
+        grades[0]["deadline"] = -1.5
+    elif kind == "attempts zero":
+        whole["settings"]["policy_limits"]["max_attempts"] = 0
+    elif kind == "deadline a text":
+        grades[0]["deadline"] = "3"
+    elif kind == "not an object":
+        return "[1, 2]"
+    return json.dumps(whole)
+
+
+KINDS = [
+    "empty", "cut off", "no settings", "a class without deadline", "deadline zero", "deadline below zero",
+    "attempts zero", "deadline a text", "not an object",
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_broken_file_is_refused_and_says_where(kind: str, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(broken(kind))
+    with pytest.raises(ConfigError, match="config.json"):
+        cfg.load({"RELAY_CONFIG": str(path)}, again=True)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_after_a_broken_file_the_old_settings_stay_whole(kind: str, tmp_path: Path) -> None:
+    stage = Stage(hosts=1)
+    before = stage.service.settings
+    path = tmp_path / "config.json"
+    path.write_text(broken(kind))
+    stage.service.reload(lambda: cfg.load({"RELAY_CONFIG": str(path)}, again=True))
+    assert stage.service.settings is before and stage.service.gateway.settings is before
+    assert stage.service.stats.reload_failure == 1 and stage.service.stats.reload_success == 0
+
+
+def test_a_new_class_is_taken_by_new_requests() -> None:
+    stage = Stage(hosts=1)
+    fresh = api.RequestClass("peek", aim=0.5, deadline=2.0, worth=1.0, effect="safe")
+    settings = replace(stage.config.settings, classes=(LOOK, BUY, fresh))
+    stage.service.reload(lambda: replace(stage.config, settings=settings))
+    ask_peek = "[Q.ASK 00000000b4d65521 r1 c=peek,t=basic,d=1000,units=1,spread=2,first=0]"
+    stage.play(f"a send {ask_peek}\ns1 expect {ask_peek}")
+    assert stage.service.stats.reload_success == 1
+
+
+def test_a_dropped_class_is_refused_to_new_requests() -> None:
+    stage = Stage(hosts=1)
+    settings = replace(stage.config.settings, classes=(BUY,))
+    stage.service.reload(lambda: replace(stage.config, settings=settings))
+    stage.play("a send [Q.ASK 00000000b4d65521 r1 c=look,t=basic,d=1000,units=1,spread=2,first=0]")
+    stage.play("a expect -ERR no such class or plan")
+
+
+def test_plans_do_not_change_in_a_running_limiter() -> None:
+    stage = Stage(hosts=1)
+    settings = replace(stage.config.settings, plans=())
+    stage.service.reload(lambda: replace(stage.config, settings=settings))
+    assert stage.service.stats.reload_failure == 1
+
+
+def test_an_open_request_keeps_the_attempts_it_came_with() -> None:
+    gateway = make(0, gateways=1, max_attempts=3)
+    (first,) = only(ask(gateway, 100.0, id="r1"), api.Send)
+    gateway.retune(replace(gateway.settings, max_attempts=1))
+    assert only(answer(gateway, first, 100.1, "error"), api.Send), "an open request lost its further attempts"
+    (later,) = only(ask(gateway, 100.2, id="r2"), api.Send)
+    assert not only(answer(gateway, later, 100.3, "error"), api.Send)
+
+
+def test_an_open_request_keeps_its_class_when_the_class_goes() -> None:
+    gateway = make(0, gateways=1, max_attempts=3)
+    (first,) = only(ask(gateway, 100.0, id="r1", kind="issue"), api.Send)
+    gateway.retune(replace(gateway.settings, classes=gateway.settings.classes[:1]))
+    answer(gateway, first, 100.1, "ok")  # its class is gone: it ends all the same
+    assert "r1" not in gateway.held or gateway.held["r1"].ended
+    assert not only(ask(gateway, 100.2, kind="issue"), api.Send)  # a class that is gone is sent nowhere
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -600,3 +600,21 @@
     stage.play(f"a send {ask(1).replace('units=1', 'units=400')}\nwait 1.1")
     lines = [orjson.loads(line) for line in capsys.readouterr().err.splitlines() if line.startswith("{")]
     assert [int(line["at"]) for line in lines] == [1_000_001] and lines[0]["declines"] == {"quota": 1}
+
+
+def test_bad_commands_in_a_row_get_one_answer_each_and_no_more() -> None:
+    """The connection ends after them; an answer more would be taken for that of the client's next command."""
+    stage = Stage(hosts=1)
+    end = stage._end("a")
+    end.sendall(resp.command([b"Q.ASK", b"x"]) * MOST_BAD)
+    stage.play("wait 2.5")
+    got = b""
+    while True:
+        try:
+            data = end.recv(1 << 16)
+        except (BlockingIOError, ConnectionResetError):
+            break
+        if not data:
+            break
+        got += data
+    assert got.count(b"\r\n") == MOST_BAD and not stage.service.acquirer.sessions
