Servers out by hand: set-down and set-up, held by the module and kept in TMPDIR

Change: the module takes a Ban event; a banned server gets nothing new, not even as a rescue, whatever the list says, and comes back cold (it was restarted meanwhile). The operator address sets it: an id never listed gets an error, a call said twice changes nothing more. net/bans.py keeps the set in $TMPDIR, written whole and put in place, looked at every 0.25 s so that a restart and the other process of an upgrade hold it; a broken, foreign or other-version file is not taken and said once. Way not taken: a loopback socket between the two processes, which would need both alive at once and does not cover a restart.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from zlib import crc32
 
-from hazelhollow import gossip
+from hazelhollow import gossip, state
 from hazelhollow import interface as api
 from hazelhollow.state import Account, Attempt, Health, Held, Memory, Server, Store, at_least, listed
 from hazelhollow.subset import stretch
@@ -105,6 +105,8 @@
             self.end(event.id)
         elif isinstance(event, api.Allowance):
             self._allow(event)
+        elif isinstance(event, api.Ban):
+            self._ban(event)
         return self.actions
 
     # Budgets
@@ -341,19 +343,30 @@
     def _list(self, event: api.Servers) -> None:
         self.actions += [api.Subscribe()] if event.kind == "failed" else []  # the old list still holds
         self.servers = listed(self.servers, event, self.settings.fall_time)
+        state.cold_again(self.servers, self.back, self.now - self.settings.cold_for)
         self.near_until = 0.0
         self.tagged = {server.tag: server for server in self.servers.values()}
         mean = sum(s.entry.weight for s in self.servers.values()) / max(1, len(self.servers)) or 1.0
         for server in self.servers.values():
             server.width = max(WIDTH * server.entry.weight / mean, WIDTH / 4)
 
+    def _ban(self, event: api.Ban) -> None:
+        """One left out gets nothing new, not even as a rescue; back, it is cold, since it was restarted."""
+        if event.down:
+            self.banned.add(event.server)
+        elif event.server in self.banned:
+            self.banned.discard(event.server)
+            self.back[event.server] = self.now
+            state.cold_again(self.servers, self.back, self.now - self.settings.cold_for)
+        self.near_until = 0.0
+
     def _choose(self, held: Held) -> tuple[Server | None, float]:
         """The server of least expected delay among those that the gate allows, and that delay."""
         work, kind, best, heard = self.work_of(held), held.kind, None, self.heard_loads(SILENT * PERIOD)
         for rescue, servers in self._candidates():
             for server in servers:
                 gate = not held.attempts or may_send(held, server, self.settings, self.now)
-                fit = server.entry.state == "up" and gate and (rescue or self._fit(server, kind.name))
+                fit = self._up(server) and gate and (rescue or self._fit(server, kind.name))
                 if not fit or not self._warm(server, work):
                     continue
                 delay = server.pace * (work + server.backlog(heard) / server.width)
@@ -382,7 +395,7 @@
         """The servers that this gateway keeps to while they serve, of the warm and of the cold."""
         if self.now >= self.near_until:
             self.near_until = self.now + PERIOD
-            up = sorted((s for s in self.servers.values() if s.entry.state == "up"), key=lambda s: s.tag)
+            up = sorted(filter(self._up, self.servers.values()), key=lambda s: s.tag)
             self.near = []
             for cold in (False, True):
                 kind = [s for s in up if s.cold(self.now, self.settings) == cold]
@@ -391,7 +404,10 @@
 
     def avoided(self) -> set[str]:
         """The listed servers that get nothing new now: draining, or ejected for every class."""
-        return {name for name, s in self.servers.items() if s.entry.state != "up" or not self._fit(s, "")}
+        return {name for name, s in self.servers.items() if not self._up(s) or not self._fit(s, "")}
+
+    def _up(self, server: Server) -> bool:
+        return server.entry.state == "up" and server.entry.server not in self.banned
 
     def _fit(self, server: Server, kind: str) -> bool:
         """It may fail one class and serve the rest. Its term over, it comes back by one attempt at a time."""
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -183,7 +183,17 @@
     ceiling: float | None = None
 
 
-Event = Union[Servers, Request, Started, Outcome, ClientGone, Timer, ProbeResult, PeerMessage, Counted, Allowance]
+@dataclass(frozen=True)
+class Ban:
+    """An operator leaves a server out (`down`) or puts it back; whatever the list says, until the call back."""
+
+    server: str
+    down: bool
+
+
+Event = Union[
+    Servers, Request, Started, Outcome, ClientGone, Timer, ProbeResult, PeerMessage, Counted, Allowance, Ban
+]
 
 
 @dataclass(frozen=True)
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -109,6 +109,9 @@
     def told(self, event: api.Servers) -> None:
         self._handle(event)
 
+    def ban(self, server: str, down: bool) -> None:
+        self._handle(api.Ban(server, down))
+
     def heard(self, sender: int, text: str) -> None:
         self._handle(api.PeerMessage(sender, text))
 
--- a/hazelhollow/net/routing.py
+++ b/hazelhollow/net/routing.py
@@ -37,6 +37,7 @@
         self.version = 0
         self.entries: dict[str, api.ServerEntry] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
+        self.ever: set[str] = set()  # the names that a list of this life has held
 
     def apply(self, document: Any, cached: bool = False) -> api.Servers:
         """Takes in a list or the changes to it; gives the module's event. All is read before any is applied.
@@ -62,6 +63,7 @@
         if whole:
             self.entries, self.addresses = {}, {}
         for entry, address in read:
+            self.ever.add(entry.server)
             if entry.state == "gone":
                 self.entries.pop(entry.server, None)
                 self.addresses.pop(entry.server, None)
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -15,6 +15,7 @@
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.acquirer import KEPT_SHARE, MEMORY_SHARE, Acquirer, Terms
+from hazelhollow.net.bans import BanFile, path_for
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Decisions, Limiter
 from hazelhollow.net.operator import Address
@@ -26,6 +27,7 @@
 LEAVE_AFTER = 0.5  # seconds past SIGTERM: clients come for up to 0.4 s; then connections end between requests
 STAY = 0.9  # seconds past SIGTERM that it serves at least
 STEP = 0.02
+BANS_EVERY = 0.25  # seconds between looks at the file of bans, which a process beside this one may have changed
 RESERVE = 32  # descriptors for all that is neither a client's nor an issuer host's
 
 log = logging.getLogger(__name__)
@@ -75,6 +77,8 @@
             self.issuers.spare,
         )
         self.leaving = False
+        self.bans, self.banned = BanFile(path_for(config.name)), set[str]()
+        self.take_bans()
         self.operator = Address(scheduler, self.stats, Desk(self), config.operator) if config.operator else None
 
     def start(self) -> None:
@@ -88,6 +92,24 @@
             self.scheduler.spawn_lasting(self.operator.run, "operator")
         self.scheduler.at(self.scheduler.clock() + READY_WITHIN, self.acquirer.ready)
 
+    def take_bans(self) -> None:
+        """What the file says now, from this process or the other one of an upgrade."""
+        self.scheduler.at(self.scheduler.clock() + BANS_EVERY, self.take_bans)
+        found = self.bans.read()
+        if found is not None and found != self.banned:
+            self.set_bans(found, write=False)
+
+    def set_bans(self, down: set[str], write: bool = True) -> None:
+        for server in sorted(down - self.banned):
+            log.warning("server %s is left out by hand", server)
+            self.limiter.ban(server, True)
+        for server in sorted(self.banned - down):
+            log.warning("server %s is put back by hand", server)
+            self.limiter.ban(server, False)
+        self.banned = set(down)
+        if write:
+            self.bans.write(self.banned)
+
     def _changed(self, event: api.Servers) -> None:
         # First the module: a leg that has not left for a host that goes ends with `update`, and the module
         # then chooses anew from the list as it stands.
@@ -176,10 +198,18 @@
         }
 
     def set_down(self, server: str) -> str | None:
-        return "set-down is not served by this version"
+        return self._set(server, True)
 
     def set_up(self, server: str) -> str | None:
-        return "set-up is not served by this version"
+        return self._set(server, False)
+
+    def _set(self, server: str, down: bool) -> str | None:
+        """Said twice, a call is done twice and changes nothing the second time."""
+        service = self._service
+        if server not in service.table.ever and server not in service.banned:
+            return f"no server '{server}' has been listed"
+        service.set_bans(service.banned | {server} if down else service.banned - {server})
+        return None
 
 
 def serve(
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from dataclasses import replace
 from zlib import crc32
 
 from hazelhollow import gossip
@@ -166,6 +167,15 @@
         return sum(self.out.values()) + sum([load.get(self.tag, 0.0) for load in heard])
 
 
+def cold_again(servers: dict[str, Server], back: dict[str, float], since: float) -> None:
+    """A server put back by hand has been restarted meanwhile, whatever the list says: it is cold from then."""
+    for name, at in list(back.items()):
+        if at < since:
+            del back[name]
+        elif name in servers and servers[name].entry.started < at:
+            servers[name].entry = replace(servers[name].entry, started=at)
+
+
 def listed(servers: dict[str, Server], event: api.Servers, cold_span: float) -> dict[str, Server]:
     """The servers after a list or a change to it: what is known of one lasts until it has started anew."""
     if event.kind not in ("change", "failed"):
@@ -221,6 +231,8 @@
         self.near: list[Server] = []  # those that this gateway keeps to, and until when that holds
         self.near_until = 0.0
         self.held: dict[str, Held] = {}
+        self.banned: set[str] = set()  # servers left out by hand
+        self.back: dict[str, float] = {}  # servers put back by hand, and when: they start cold then
         self.dirty: dict[int, dict[tuple[str, int], str]] = {}  # by whom to tell: customer, period, word
         self.booked: dict[str, None] = {}  # customers charged since the last renewal
         self.late: dict[str, float] = {}  # news that the first hub should have told, and since when
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,15 @@
 """The same examples in every run, with no limit on an example's time: CI must give the same verdict every time."""
 
+from pathlib import Path
+
+import pytest
 from hypothesis import settings
 
 settings.register_profile("steady", deadline=None, derandomize=True)
 settings.load_profile("steady")
+
+
+@pytest.fixture(autouse=True)
+def own_tmpdir(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A limiter keeps its bans in $TMPDIR: each test has its own, or one test's bans would be another's."""
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
--- /dev/null
+++ b/tests/test_bans.py
@@ -0,0 +1,78 @@
+"""Servers out by hand: never sent anything new, whatever the list says; kept over a restart; back cold."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import orjson
+import pytest
+
+from hazelhollow import interface as api
+from hazelhollow.net.bans import BanFile, path_for
+from tests.scenario import Stage
+from tests.test_gateway import ask, entry, make, only, servers
+from tests.test_operator_address import call, figures, stage
+
+
+def test_a_banned_server_gets_nothing_even_when_all_others_fail() -> None:
+    gateway = make(0, gateways=1)
+    gateway.handle(servers("full", entry("s1"), entry("s2")), 100.0)
+    gateway.handle(api.Ban("s1", True), 100.0)
+    sent = {s.server for i in range(40) for s in only(ask(gateway, 100.0 + i / 100, customer=f"{i}"), api.Send)}
+    assert sent == {"s2"}
+    gateway.handle(servers("full", entry("s2", state="draining"), entry("s1")), 101.0)
+    assert not only(ask(gateway, 101.1), api.Send)  # the list says it is up: the ban holds all the same
+
+
+def test_a_server_put_back_is_cold() -> None:
+    gateway = make(0, gateways=1)
+    gateway.handle(servers("full", entry("s1"), entry("s2")), 100.0)
+    gateway.handle(api.Ban("s1", True), 100.0)
+    gateway.handle(api.Ban("s1", False), 105.0)
+    assert gateway.servers["s1"].cold(105.5, gateway.settings)
+    gateway.handle(servers("full", entry("s1"), entry("s2")), 106.0)  # a list that says it is old does not warm it
+    assert gateway.servers["s1"].cold(106.0, gateway.settings) and not gateway.servers["s2"].cold(106.0, gateway.settings)
+
+
+def test_set_down_and_up_by_the_operator_address() -> None:
+    one = stage()
+    assert call(one, b"set-down s1\n") == b"done set-down s1\n"
+    assert call(one, b"set-down s1\n") == b"done set-down s1\n"  # said again, nothing more changes
+    assert one.service.gateway.banned == {"s1"} and figures(one)["targets_disabled"] == 1
+    assert call(one, b"set-up s1\n") == b"done set-up s1\n"
+    assert not one.service.gateway.banned and figures(one)["targets_disabled"] == 0
+
+
+def test_an_id_never_listed_is_owed_a_no() -> None:
+    assert call(stage(), b"set-down s-unknown\n").startswith(b"error no server 's-unknown'")
+
+
+def test_bans_hold_over_a_restart_and_reach_a_process_beside() -> None:
+    first = stage()
+    call(first, b"set-down s1\n")
+    second = Stage(hosts=1)
+    assert second.service.gateway.banned == {"s1"}
+    second.service.set_bans(set())
+    first.now += 1.0
+    first.settle()
+    assert not first.service.gateway.banned  # what the other one put back, this one puts back too
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"", b"{", b"[]", b'{"format": "other", "version": 1, "down": []}', b'{"format": "hazelhollow-bans", "version": 9}',
+     b'{"format": "hazelhollow-bans", "version": 1, "down": [1]}'],
+)  # fmt: skip
+def test_a_broken_or_foreign_file_is_not_taken(text: bytes, tmp_path: Path) -> None:
+    path = path_for("n0", str(tmp_path))
+    path.write_bytes(text)
+    assert BanFile(path).read() is None
+    assert not Stage(hosts=1).service.gateway.banned
+
+
+def test_the_file_is_written_whole_and_read_back(tmp_path: Path) -> None:
+    keeper = BanFile(path_for("n0", str(tmp_path)))
+    keeper.write({"s2", "s1"})
+    assert orjson.loads(keeper.path.read_bytes())["down"] == ["s1", "s2"]
+    assert BanFile(keeper.path).read() == {"s1", "s2"}
+    assert not list(tmp_path.glob("*.part"))
