--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -96,6 +96,33 @@
     )
 
 
+@main.command("call")
+@click.argument("words", nargs=-1, required=True)
+@click.option("--to", "address", default="127.0.0.1:7000", show_default=True, help="The operator address, host:port.")
+def call(words: tuple[str, ...], address: str) -> None:
+    """Make one call at a limiter's operator address and print its answer.
+
+    \b
+    hazelhollow call check           done ready, once it serves
+    hazelhollow call vars            the figures, as JSON between `done` and `end`
+    hazelhollow call set-down s-7    leave server s-7 out until `set-up s-7`
+
+    Exit status 0 for an answer that begins with `done`, 1 for `error`, 2 when nobody answers.
+    """
+    import socket
+
+    try:
+        with socket.create_connection(config.address(address), timeout=2.0) as sock:
+            sock.sendall(" ".join(words).encode() + b"\n")
+            answer = b""
+            while chunk := sock.recv(65536):
+                answer += chunk
+    except (OSError, ValueError) as error:
+        _fail(f"{address}: {error}")
+    click.echo(answer.decode(errors="replace"), nl=False)
+    sys.exit(0 if answer.startswith(b"done") else 1)
+
+
 @main.command("version")
 def show_version() -> None:
     """Print the version."""
