Figures run on from the old process through an upgrade, by files of TMPDIR

Change: net/handover.py; each process writes its figures every quarter second and at its end; a new one adds those of live processes of its name, reads them while they change and keeps them after; a restart finds dead ones and counts from its own start. concurrent adds the old one's open requests while it lives. The folder and file names are shared with the bans (bans.folder_of, safe_name).

--- a/hazelhollow/net/bans.py
+++ b/hazelhollow/net/bans.py
@@ -18,11 +18,19 @@
 log = logging.getLogger(__name__)
 
 
+def folder_of(directory: str | None = None) -> Path:
+    """Where what must outlast a process is kept: `$TMPDIR`, which the processes of one upgrade share."""
+    return Path(directory or os.environ.get("TMPDIR") or tempfile.gettempdir())
+
+
+def safe_name(name: str) -> str:
+    """A limiter's name as a part of a file's name."""
+    return "".join(c if c.isalnum() or c in "-_." else "_" for c in name) or "limiter"
+
+
 def path_for(name: str, directory: str | None = None) -> Path:
-    """Where the limiter of that name keeps its bans; the processes of one upgrade share it."""
-    folder = Path(directory or os.environ.get("TMPDIR") or tempfile.gettempdir())
-    safe = "".join(c if c.isalnum() or c in "-_." else "_" for c in name) or "limiter"
-    return folder / f"hazelhollow-{safe}-bans.json"
+    """Where the limiter of that name keeps its bans."""
+    return folder_of(directory) / f"hazelhollow-{safe_name(name)}-bans.json"
 
 
 class BanFile:
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -16,6 +16,7 @@
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.acquirer import KEPT_SHARE, MEMORY_SHARE, Acquirer, Terms
 from hazelhollow.net.bans import BanFile, path_for
+from hazelhollow.net.handover import Figures
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Decisions, Limiter
 from hazelhollow.net.operator import Address
@@ -80,6 +81,8 @@
         self.began, self.first_list = scheduler.clock(), False
         self.bans, self.banned = BanFile(path_for(config.name)), set[str]()
         self.take_bans()
+        self.figures = Figures(config.name)
+        self.keep_figures()
         self.operator = Address(scheduler, self.stats, Desk(self), config.operator) if config.operator else None
 
     def start(self) -> None:
@@ -93,6 +96,27 @@
             self.scheduler.spawn_lasting(self.operator.run, "operator")
         self.scheduler.at(self.scheduler.clock() + READY_WITHIN, self.acquirer.ready)
 
+    def own_figures(self) -> dict[str, Any]:
+        stats, listed = self.stats, self.table.entries
+        targets = {name for name, entry in listed.items() if entry.state != "gone"}
+        return {
+            "replies": {kind: dict(counts) for kind, counts in stats.replies.items()},
+            "dispatches": stats.dispatches,
+            "concurrent": self.limiter.concurrent(),
+            "targets": len(targets),
+            "targets_disabled": len(targets & self.gateway.avoided()),
+            "reload_success": stats.reload_success,
+            "reload_failure": stats.reload_failure,
+        }
+
+    def keep_figures(self, again: bool = True) -> None:
+        """What a new version beside this one is to count on from, written every quarter second and at the end."""
+        if again:
+            self.scheduler.at(self.scheduler.clock() + BANS_EVERY, self.keep_figures)
+        self.figures.look()
+        own = self.own_figures()
+        self.figures.write(self.figures.total(own), own["concurrent"])
+
     def take_bans(self) -> None:
         """What the file says now, from this process or the other one of an upgrade."""
         self.scheduler.at(self.scheduler.clock() + BANS_EVERY, self.take_bans)
@@ -171,6 +195,7 @@
             self.acquirer.finish()
             self.scheduler.sleep(STEP)
         log.info("left after %.2f s", self.scheduler.clock() - began)
+        self.keep_figures(again=False)
         self.issuers.close()
         self.scheduler.stop()
 
@@ -191,18 +216,10 @@
         return self._service.acquirer.is_ready() and not self._service.leaving
 
     def figures(self) -> dict[str, Any]:
+        """As of now; with those of an old process of an upgrade added, the two being one limiter."""
         service = self._service
-        stats, listed = service.stats, service.table.entries
-        targets = {name for name, entry in listed.items() if entry.state != "gone"}
-        return {
-            "replies": {kind: dict(counts) for kind, counts in stats.replies.items()},
-            "dispatches": stats.dispatches,
-            "concurrent": service.limiter.concurrent(),
-            "targets": len(targets),
-            "targets_disabled": len(targets & service.gateway.avoided()),
-            "reload_success": stats.reload_success,
-            "reload_failure": stats.reload_failure,
-        }
+        service.figures.look()
+        return service.figures.total(service.own_figures())
 
     def set_down(self, server: str) -> str | None:
         return self._set(server, True)
