--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -104,10 +104,10 @@
 
     \b
     hazelhollow call check           done ready, once it serves
-    hazelhollow call vars            the figures, as JSON between `done` and `end`
+    hazelhollow call vars            the figures, as one JSON line, then `end`
     hazelhollow call set-down s-7    leave server s-7 out until `set-up s-7`
 
-    Exit status 0 for an answer that begins with `done`, 1 for `error`, 2 when nobody answers.
+    Exit status 0 for an answer that begins with `done` (or the figures), 1 for `error`, 2 when nobody answers.
     """
     import socket
 
@@ -120,7 +120,7 @@
     except (OSError, ValueError) as error:
         _fail(f"{address}: {error}")
     click.echo(answer.decode(errors="replace"), nl=False)
-    sys.exit(0 if answer.startswith(b"done") else 1)
+    sys.exit(1 if answer.startswith(b"error") or not answer else 0)
 
 
 @main.command("version")
--- a/hazelhollow/net/operator.py
+++ b/hazelhollow/net/operator.py
@@ -59,7 +59,7 @@
     if call.verb == "check":
         return b"done ready\n" if desk.ready() else b"error not ready yet\n"
     if call.verb == "vars":
-        return b"done\n" + orjson.dumps(desk.figures()) + b"\nend\n"
+        return orjson.dumps(desk.figures()) + b"\nend\n"
     why = desk.set_down(call.server) if call.verb == "set-down" else desk.set_up(call.server)
     if why:
         return b"error %b\n" % why.encode()
