Figures of an upgrade count each old process once, and an unreaped one as ended

The first process had been killed but not yet reaped, so it seemed to run (os.kill with 0 succeeds on a zombie): its file was added, and so was the second's, which already held it. Lines at fault: handover.alive and handover.Figures.total.

Change: a process in state Z or X is not alive (from /proc/PID/stat); each file names the processes whose figures it holds, and a file held by another is not added again. Tests for both, each failing without its guard.

--- a/hazelhollow/net/handover.py
+++ b/hazelhollow/net/handover.py
@@ -22,13 +22,18 @@
 
 
 def alive(pid: int) -> bool:
+    """Whether that process runs. One that has ended but is not yet reaped by its parent does not."""
     try:
         os.kill(pid, 0)
     except ProcessLookupError:
         return False
     except PermissionError:
         return True
-    return True
+    try:
+        state = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
+    except (OSError, IndexError):
+        return True
+    return state not in ("Z", "X")
 
 
 class Figures:
@@ -55,14 +60,14 @@
             document = _read(path)
             if document is not None:
                 self._before[path] = document
-            if not alive(int(path.stem.rsplit("-", 1)[1])):
+            if not alive(_pid(path)):
                 self._living.discard(path)
 
     def total(self, own: dict[str, Any]) -> dict[str, Any]:
         """Own figures with those before added."""
         replies: dict[str, Counter[str]] = {k: Counter(v) for k, v in own["replies"].items()}
         whole = dict(own)
-        for path, before in self._before.items():
+        for path, before in self._counted().items():
             for kind, counts in before.get("replies", {}).items():
                 replies.setdefault(kind, Counter(success=0, overload=0, error=0)).update(counts)
             for key in SUMMED:
@@ -72,9 +77,18 @@
         whole["replies"] = {kind: dict(counts) for kind, counts in replies.items()}
         return whole
 
+    def _counted(self) -> dict[Path, dict[str, Any]]:
+        """The files to add: not one whose figures another of them holds already, or they would count twice."""
+        held = {pid for before in self._before.values() for pid in before.get("holds", [])}
+        return {path: before for path, before in self._before.items() if _pid(path) not in held}
+
     def write(self, whole: dict[str, Any], open_now: int) -> None:
         """`whole`: what `total` gave, so that the next version counts on from all."""
-        document = {"format": FORMAT, "version": VERSION, "open": open_now, **{k: whole[k] for k in ("replies", *SUMMED)}}
+        holds = sorted({_pid(path) for path in self._before} | {p for b in self._before.values() for p in b["holds"]})
+        document = {
+            "format": FORMAT, "version": VERSION, "open": open_now, "holds": holds,
+            **{k: whole[k] for k in ("replies", *SUMMED)},
+        }  # fmt: skip
         part = self.path.with_name(self.path.name + ".part")
         try:
             part.write_bytes(orjson.dumps(document))
@@ -92,4 +106,12 @@
         return None
     if not isinstance(document.get("replies"), dict):
         return None
+    holds = document.get("holds", [])
+    if not isinstance(holds, list) or not all(isinstance(pid, int) for pid in holds):
+        return None
+    document["holds"] = holds
     return document
+
+
+def _pid(path: Path) -> int:
+    return int(path.stem.rsplit("-", 1)[1])
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from hazelhollow.net.handover import Figures
+from hazelhollow.net.handover import Figures, alive
 
 DEAD = 2**22 + 7  # above the largest process id that Linux hands out
 
@@ -45,18 +45,32 @@
     assert new.total(own(success=2))["replies"]["look"]["success"] == 2
 
 
-def test_a_third_version_counts_on_from_both(tmp_path: Path) -> None:
-    first = Figures("n0", str(tmp_path), pid=os.getpid())
+def test_a_broken_or_foreign_file_is_not_counted(tmp_path: Path) -> None:
+    (tmp_path / f"hazelhollow-n0-figures-{os.getpid()}.json").write_bytes(b'{"format": "other", "version": 1}')
+    new = Figures("n0", str(tmp_path), pid=DEAD - 1)
+    assert new.total(own(success=2))["replies"]["look"]["success"] == 2
+
+
+def test_a_process_that_seems_alive_is_not_counted_twice(tmp_path: Path) -> None:
+    """The first of three has ended but is not reaped yet, so it seems to run: the second holds its figures already."""
+    first = Figures("n0", str(tmp_path), pid=os.getppid())  # alive, as an unreaped process seems
     first.write(first.total(own(success=10)), 0)
-    second = Figures("n0", str(tmp_path), pid=DEAD - 1)
+    second = Figures("n0", str(tmp_path), pid=os.getpid())
     second.write(second.total(own(success=5)), 0)
-    (tmp_path / f"hazelhollow-n0-figures-{os.getpid()}.json").unlink()  # the first has gone
-    os.replace(second.path, tmp_path / f"hazelhollow-n0-figures-{os.getpid()}.json")  # the second lives now
     third = Figures("n0", str(tmp_path), pid=DEAD - 2)
     assert third.total(own(success=1))["replies"]["look"]["success"] == 16
 
 
-def test_a_broken_or_foreign_file_is_not_counted(tmp_path: Path) -> None:
-    (tmp_path / f"hazelhollow-n0-figures-{os.getpid()}.json").write_bytes(b'{"format": "other", "version": 1}')
-    new = Figures("n0", str(tmp_path), pid=DEAD - 1)
-    assert new.total(own(success=2))["replies"]["look"]["success"] == 2
+def test_a_process_that_has_ended_unreaped_is_not_alive() -> None:
+    import subprocess
+    import sys
+
+    child = subprocess.Popen([sys.executable, "-c", "pass"], stdout=subprocess.PIPE)
+    assert child.stdout is not None
+    child.stdout.read()  # its end: the system closes what it held as it exits
+    for _ in range(100_000):
+        if (Path(f"/proc/{child.pid}/stat").read_text().rsplit(")", 1)[1].split()[0]) == "Z":
+            break
+        os.sched_yield()
+    assert not alive(child.pid)
+    child.wait()
