--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -16,7 +16,6 @@
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.acquirer import KEPT_SHARE, MEMORY_SHARE, Acquirer, Terms
 from hazelhollow.net.bans import BanFile, path_for
-from hazelhollow.net.handover import Figures
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Decisions, Limiter
 from hazelhollow.net.operator import Address
@@ -81,8 +80,6 @@
         self.began, self.first_list = scheduler.clock(), False
         self.bans, self.banned = BanFile(path_for(config.name)), set[str]()
         self.take_bans()
-        self.figures = Figures(config.name)
-        self.keep_figures()
         self.operator = Address(scheduler, self.stats, Desk(self), config.operator) if config.operator else None
 
     def start(self) -> None:
@@ -109,14 +106,6 @@
             "reload_failure": stats.reload_failure,
         }
 
-    def keep_figures(self, again: bool = True) -> None:
-        """What a new version beside this one is to count on from, written every quarter second and at the end."""
-        if again:
-            self.scheduler.at(self.scheduler.clock() + BANS_EVERY, self.keep_figures)
-        self.figures.look()
-        own = self.own_figures()
-        self.figures.write(self.figures.total(own), own["concurrent"])
-
     def take_bans(self) -> None:
         """What the file says now, from this process or the other one of an upgrade."""
         self.scheduler.at(self.scheduler.clock() + BANS_EVERY, self.take_bans)
@@ -195,7 +184,6 @@
             self.acquirer.finish()
             self.scheduler.sleep(STEP)
         log.info("left after %.2f s", self.scheduler.clock() - began)
-        self.keep_figures(again=False)
         self.issuers.close()
         self.scheduler.stop()
 
@@ -216,10 +204,8 @@
         return self._service.acquirer.is_ready() and not self._service.leaving
 
     def figures(self) -> dict[str, Any]:
-        """As of now; with those of an old process of an upgrade added, the two being one limiter."""
-        service = self._service
-        service.figures.look()
-        return service.figures.total(service.own_figures())
+        """As of now, from the start of this process."""
+        return self._service.own_figures()
 
     def set_down(self, server: str) -> str | None:
         return self._set(server, True)
