One accept loop serves the operator address and both stand-ins

Need: the three listeners took connections by the same lines; the stand-ins' copies spun on a full descriptor table, since an accept that fails with EMFILE left poll saying at once that a connection waits.

Change: stream.accepted yields connections and pauses 50 ms after a failed accept; operator.Address, standins.node and standins.redis.server use it.

--- a/hazelhollow/net/operator.py
+++ b/hazelhollow/net/operator.py
@@ -81,13 +81,7 @@
         self.address: tuple[str, int] = self._sock.getsockname()
 
     def run(self) -> None:
-        while True:
-            self._scheduler.wait(self._sock.fileno(), sch.READ)
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                self._scheduler.sleep(0.05)  # no descriptor now: poll would say at once that a caller waits
-                continue
+        for sock in stream.accepted(self._scheduler, self._sock):
             if len(self._callers) >= MOST_CALLERS:
                 oldest = next(iter(self._callers))
                 self._stats.operator_endings[Ending.NO_DESCRIPTOR] += 1
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -4,7 +4,7 @@
 
 import errno
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.ending import Ending
@@ -34,6 +34,19 @@
     return ending or stream
 
 
+def accepted(scheduler: sch.Scheduler, listener: socket.socket, pause: float = 0.05) -> Iterator[socket.socket]:
+    """Connections as they come to a listening socket. With no descriptor left it pauses first: poll would say at once
+    that a connection waits, and the loop would take the processor from all else."""
+    while True:
+        scheduler.wait(listener.fileno(), sch.READ)
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            scheduler.sleep(pause)
+            continue
+        yield sock
+
+
 class Stream:
     """One connection; one task at a time reads from it."""
 
--- a/hazelhollow/standins/node.py
+++ b/hazelhollow/standins/node.py
@@ -38,12 +38,7 @@
         self.scheduler.spawn_lasting(self._accept, "node")
 
     def _accept(self) -> None:
-        while True:
-            self.scheduler.wait(self._sock.fileno(), sch.READ)
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                continue
+        for sock in stream.accepted(self.scheduler, self._sock):
             line = Line(stream.Stream(self.scheduler, sock, MOST_OUT))
             self.scheduler.spawn(self._tend, line, name="node connection")
 
--- a/hazelhollow/standins/redis/server.py
+++ b/hazelhollow/standins/redis/server.py
@@ -33,12 +33,7 @@
         self.advance()
 
     def _accept(self) -> None:
-        while True:
-            self.scheduler.wait(self._sock.fileno(), sch.READ)
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                continue
+        for sock in stream.accepted(self.scheduler, self._sock):
             session = self.station.connect()
             if session is None:  # down: as near to a refusal as an open port can come
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
