True units of answers reach the module on sockets

Cause: the second site settles units afterwards. issuer.read_answer kept elements 0 and 2 of an answer and dropped the figures between them, and limiter._leg_done handed the module 0.0, so on sockets every budget went by guesses; in the simulator, which hands a number, the loss does not show. Ruled out: the report's parser, which already passes over names it does not know.

Change: wire.read_cost, a figure once for each request (Held.settled), nothing where post_paid is false; spoilt figures are left out, counted and logged a few lines a second (Sparse moves from the operator address to a module of its own).

Guard taken out once: the test of a second figure failed.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -456,7 +456,8 @@
         attempt.out, attempt.may_have_run = False, event.status not in NEVER_RAN
         attempt.server.out.pop((event.id, event.attempt), None)
         self._learn(attempt, held.kind, event)
-        if event.true_units and held.inside:
+        if event.true_units and held.inside and not held.settled:
+            held.settled = True
             period = max(int(held.came // PERIOD), self.period - 1)
             held.account.totals.turn(self.period)
             self._book(held.key, held.account, event.true_units - held.event.units, period)
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -56,6 +56,7 @@
     zone: str = ""
     tick: float = 0.001
     max_units: float = 1.0
+    post_paid: bool = False  # units are a guess; the true ones come with the answer
     max_attempts: int = 1
     parallel_tries: bool = False
     cancelling: bool = False
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/issuer.py
@@ -28,13 +28,14 @@
     status: Status
     value: bytes = b""
     report: bytes = b""
+    figures: bytes = b""  # on use, as the host worded them
 
 
 def read_answer(answer: resp.Value) -> Result | None:
     """An issuer host's answer; nothing where it is none that a host gives."""
     if isinstance(answer, list) and answer and isinstance(answer[0], bytes):
-        report = answer[2] if len(answer) > 2 and isinstance(answer[2], bytes) else b""
-        return Result("ok", answer[0], report)
+        figures, report = (x if isinstance(x, bytes) else b"" for x in (answer + [None, None])[1:3])
+        return Result("ok", answer[0], report, figures)
     if isinstance(answer, resp.Fault):
         word, _, rest = answer.partition(b" ")
         report = rest.rpartition(b" ")[2] if b"=" in rest else b""
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -13,6 +13,7 @@
 from hazelhollow.net.ending import Ending
 from hazelhollow.net.issuer import Issuers, Leg, Result
 from hazelhollow.net.peers import Peers
+from hazelhollow.net.sparse import Sparse
 from hazelhollow.net.stats import Stats
 
 TIMER_AGAIN = 1.0  # seconds until a timer at which the module failed comes again
@@ -66,6 +67,8 @@
         self.open: dict[str, Open] = {}
         self._events: deque[tuple[api.Event, Open | None]] = deque()
         self._busy = False
+        self.most_units = 0.0  # that an answer may settle; 0 where units are not settled afterwards
+        self._log = Sparse(log, scheduler.clock)
 
     # The acquirer side
 
@@ -143,11 +146,25 @@
             result.status,
             now - leg.started,
             one.answered,
-            0.0,
+            self._true_units(result),
             wire.read_report(result.report),
         )
         self._handle(event, one)
 
+    def _true_units(self, result: Result) -> float:
+        """Of a good answer, also where the client has left: the host did the work. Figures that cannot be true are
+        left out; the value that came with them has been passed on all the same."""
+        if result.status != "ok" or not self.most_units:
+            return 0.0
+        try:
+            units = wire.read_cost(result.figures, self.most_units)
+        except wire.WireError as error:
+            self._stats.figures_bad += 1
+            self._log.warning("%s", error)
+            return 0.0
+        self._stats.settled += units > 0
+        return units
+
     # To the module and back
 
     def _handle(self, event: api.Event, one: Open | None = None) -> None:
--- a/hazelhollow/net/operator.py
+++ b/hazelhollow/net/operator.py
@@ -4,7 +4,6 @@
 
 import logging
 import socket
-from collections.abc import Callable
 from typing import Any, Protocol
 
 import orjson
@@ -12,13 +11,13 @@
 from hazelhollow.net import calls, stream
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.ending import Ending
+from hazelhollow.net.sparse import Sparse
 from hazelhollow.net.stats import Stats
 
 WITHIN = 0.5  # seconds from a connection to its whole call; answers are due within 1 s
 OUT_WITHIN = 0.4  # seconds in which the caller is to take the answer
 MOST_CALLERS = 32  # connections at once; one more ends the oldest
 MOST_OUT = 1 << 20
-LINES_A_SECOND = 5.0  # of the log, for troubles of callers
 
 log = logging.getLogger(__name__)
 
@@ -34,26 +33,6 @@
     def set_up(self, server: str) -> str | None: ...
 
 
-class Sparse:
-    """A log of troubles that a crowd of callers cannot fill: so many lines a second, and a count of the others."""
-
-    def __init__(self, clock: Callable[[], float], per_second: float = LINES_A_SECOND) -> None:
-        self._clock, self._rate = clock, per_second
-        self._allowed, self._at, self.untold = per_second, clock(), 0
-
-    def warning(self, text: str, *args: object) -> bool:
-        now = self._clock()
-        self._allowed = min(self._rate, self._allowed + (now - self._at) * self._rate)
-        self._at = now
-        if self._allowed < 1.0:
-            self.untold += 1
-            return False
-        self._allowed -= 1.0
-        untold, self.untold = self.untold, 0
-        log.warning(text + (" (%d more not logged)" if untold else ""), *args, *((untold,) if untold else ()))
-        return True
-
-
 def answer(desk: Desk, call: calls.Call) -> bytes:
     """The whole answer to one call."""
     if call.verb == "check":
@@ -72,7 +51,7 @@
     def __init__(self, scheduler: sch.Scheduler, stats: Stats, desk: Desk, listen: tuple[str, int]) -> None:
         self._scheduler, self._stats, self._desk = scheduler, stats, desk
         self._callers: dict[stream.Stream, None] = {}  # the oldest first
-        self._log = Sparse(scheduler.clock)
+        self._log = Sparse(log, scheduler.clock)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -55,6 +55,7 @@
         if attached:
             decisions = attached.decisions(decisions, config.settings, config.seed, scheduler.clock())
         self.limiter = Limiter(decisions, scheduler, self.issuers, self.stats, config.max_open)
+        self.limiter.most_units = config.settings.max_units if config.settings.post_paid else 0.0
         self.table = Table()
         if config.known is not None:
             self.limiter.told(self.table.apply(config.known, cached=True))
@@ -154,6 +155,7 @@
             self.settings = config.settings
             self.gateway.retune(config.settings)
             self.acquirer.terms = Terms(config.settings)
+            self.limiter.most_units = config.settings.max_units if config.settings.post_paid else 0.0
             log.info("settings: classes %s", ", ".join(c.name for c in config.settings.classes))
         log.info("reloaded: discovery at %s:%d", *config.discovery)
         self.watch.move(config.discovery)
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -19,6 +19,7 @@
         self.rescued = 0  # requests answered here because the module had not
         self.legs = self.reused = self.opened = self.no_descriptor = 0  # issuer hosts
         self.ok_seconds = 0.0  # that legs which served took, together
+        self.settled = self.figures_bad = 0  # answers with true units, and with figures that cannot be true
         self.outcomes: Counter[str] = Counter()
         self.endings: Counter[Ending] = Counter()
         self.tables = self.watches_lost = 0  # routing
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -205,7 +205,7 @@
         self.most = most  # attempts, as the settings said when it came: they may say fewer later
         self.came, self.aim_at, self.deadline = now, now + kind.aim, now + event.patience
         self.attempts: list[Attempt] = []
-        self.inside = self.ended = False
+        self.inside = self.ended = self.settled = False
 
     def out(self) -> bool:
         return any([a.out for a in self.attempts])
--- a/hazelhollow/wire.py
+++ b/hazelhollow/wire.py
@@ -101,7 +101,8 @@
 
 
 def read_report(text: bytes) -> dict[str, float]:
-    """A load report as a real issuer host words it: `inflight=7,queue=2`. What cannot be read is left out."""
+    """A load report as a real issuer host words it: `inflight=7,queue=2`. What cannot be read is left out, and so are
+    figures on use, which an error line may hold before it."""
     report = {}
     for item in text.decode("ascii", "replace").split(",") if len(text) <= _MOST_REPORT else ():
         name, _, value = item.partition("=")
@@ -110,6 +111,22 @@
     return report
 
 
+def read_cost(text: bytes, most: float) -> float:
+    """The true units of a request in the figures on use, `used=37,cost=4`; 0 where they name none.
+
+    What cannot be true is a complaint: a figure that is believed is taken from a budget or given back to it.
+    """
+    if len(text) > _MOST_REPORT:
+        raise WireError(f"figures on use of {len(text)} bytes")
+    items = [item.partition("=") for item in text.decode("ascii", "replace").split(",")] if text else []
+    costs = [value for name, _, value in items if name == "cost"]
+    if not costs:
+        return 0.0
+    if len(costs) > 1 or not _FIGURE.fullmatch(costs[0]) or not 0 < float(costs[0]) <= most:
+        raise WireError(f"figures on use that cannot be: {text[:60]!r}")
+    return float(costs[0])
+
+
 def parse_line(line: str) -> tuple[str, Fields]:
     """The name and the fields of one message."""
     try:
@@ -139,6 +156,7 @@
         zone=params.text("zone", ""),
         tick=params.number("step", 0.001),
         max_units=info.number("max_units", 1.0),
+        post_paid=info.flag("post_paid"),
         max_attempts=limits.integer("max_attempts", 1),
         parallel_tries=limits.flag("parallel_tries"),
         cancelling=limits.flag("cancelling"),
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -32,6 +32,7 @@
 LOOK = api.RequestClass("look", aim=1.0, deadline=3.0, worth=1.0, effect="safe")
 BUY = api.RequestClass("buy", aim=1.0, deadline=3.0, worth=1.0, effect="keyed", group="cell", window=5.0)
 PLAN = api.Plan("basic", rate=100.0, burst=100.0)
+SETTINGS = api.Settings(0, 2, (LOOK, BUY), (PLAN,), zone="a", max_attempts=3, peers=True, max_retry_after=1.0, max_units=500.0)
 START = 1_000_000.0
 TURNS = 60  # of the loop, for what is under way to settle; each lets the kernel have a moment at need
 HEAD = "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
@@ -58,9 +59,8 @@
         self.peer.bind(("127.0.0.1", 0))
         self.ends: dict[str, list[socket.socket]] = {}
         known = self.table("whole", 1, *(f"s{n}:in_service" for n in range(1, hosts + 1)))
-        settings = api.Settings(0, 2, (LOOK, BUY), (PLAN,), zone="a", max_attempts=3, peers=True, max_retry_after=1.0, max_units=500.0)
         values: dict[str, Any] = {
-            "name": "n0", "listen": ("127.0.0.1", 0), "seed": 1, "settings": settings, "known": known,
+            "name": "n0", "listen": ("127.0.0.1", 0), "seed": 1, "settings": SETTINGS, "known": known,
             "discovery": self.listeners["disco"].getsockname(), "peer_listen": ("127.0.0.1", 0),
             "peers": (("127.0.0.1", 9), self.peer.getsockname()), **changes,
         }  # fmt: skip
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -115,6 +115,14 @@
     assert spend(gateway, 100.0, 30) == 11
 
 
+def test_a_second_figure_of_one_request_settles_nothing() -> None:
+    gateway = make()
+    (send,) = only(ask(gateway, 100.0, units=2.0), api.Send)
+    (again,) = only(answer(gateway, send, 100.1, "error", true_units=4.0), api.Send)
+    gateway.handle(api.Outcome(again.id, 1, again.server, "ok", 0.1, True, 4.0), 100.2)
+    assert next(iter(gateway.accounts.values())).budget.level == pytest.approx(12.0 - 4.0, abs=1.0)
+
+
 def test_excess_is_refused_with_the_time_until_it_fits() -> None:
     gateway = make()
     spend(gateway, 100.0, 12)
--- a/tests/test_operator_address.py
+++ b/tests/test_operator_address.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 from typing import Any
 
@@ -11,7 +12,8 @@
 from hypothesis import strategies as st
 
 from hazelhollow.net import calls
-from hazelhollow.net.operator import MOST_CALLERS, WITHIN, Sparse
+from hazelhollow.net.operator import MOST_CALLERS, WITHIN
+from hazelhollow.net.sparse import Sparse
 from tests.scenario import Stage
 
 GOOD = [
@@ -143,7 +145,7 @@
 
 def test_the_log_of_troubles_has_a_bound() -> None:
     now = [0.0]
-    sparse = Sparse(lambda: now[0], per_second=5.0)
+    sparse = Sparse(logging.getLogger("test"), lambda: now[0], per_second=5.0)
     said = sum(sparse.warning("x") for _ in range(100))
     now[0] = 1.0
     said_later = sum(sparse.warning("x") for _ in range(100))
