Under pressure a class gives way by its worth for its work and by the goal

Change: the limit is scaled by the square of the class's worth for its work against the mean of what is asked inside quotas; the class that would be served worst counts more by goal.worst_class, which the first site has and the second has not.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -36,6 +36,8 @@
 ADVICE = 0.25  # of the aim: how long to stay away under pressure and still come back in time
 LEFTOVER = 0.1  # the same for excess worth its cost, and its share of the charges inside budgets
 RETRY_SHARE = 0.1  # further attempts for each first one, so that retries cannot feed an overload
+MIX = 300.0  # requests over which it is learned what is asked for
+YIELD = 2.0  # the power of its worth for its work, against the mean, by which a class gives way
 CALM, HUSH = 0.1, 0.6  # of the tightest aim: a wait that no overload explains; silence that is too long
 HANGS = 8.0  # times what is usual, after which an attempt is held to hang
 ZONE_DELAY = 2.0  # aims of delay that crossing zones is held to be worth, times its price
@@ -73,6 +75,7 @@
         self.random = random.Random(seed)
         self.tight = min(c.aim for c in settings.classes)
         self.stay, self.retries = self.tight / 6, 1.0 / RETRY_SHARE  # learned seconds that an attempt is out
+        self.asked = state.Asked(MIX)  # inside quotas
         self.small = settings.gateways <= DIRECT
         peers = range(settings.gateways if self.small and settings.peers else 0)
         self.dirty = {n: {} for n in peers if n != settings.me}
@@ -158,6 +161,8 @@
         held = Held(event, kind, key, account, self.now, self.settings.max_attempts)
         self.units[kind.name] += GAIN * (event.units - self.units[kind.name])
         held.inside = self._inside(held)
+        if held.inside:
+            self.asked.add(kind.name, kind.worth * event.units, self.work_of(held))
         if plan.ceiling_rate and account.ceiling.fill(self.now) < event.units:
             self._refuse(held, (event.units - account.ceiling.level) / account.ceiling.rate, "ceiling")
         elif not held.inside and not (plan.over_worth > plan.over_cost and self.leftover >= event.units):
@@ -186,11 +191,16 @@
 
     def _limit(self, kind: api.RequestClass) -> float:
         """A class may fill the queues only as far as each class worth as much for its work can bear: by its
-        own aim the longest took all. A large fleet, told late, keeps to the tightest; the cheap give way."""
+        own aim the longest took all. What is worth less than the mean gives way, but not the
+        class that is served worst where the goal weighs that. A large fleet, told late, keeps to the tightest."""
         value = {c.name: c.worth * self.units[c.name] / self.work[c.name] for c in self.settings.classes}
         if not self.small:
             return self.tight * value[kind.name] / max(value.values())
-        return min(c.aim for c in self.settings.classes if value[c.name] >= value[kind.name])
+        longest = min(c.aim for c in self.settings.classes if value[c.name] >= value[kind.name])
+        cheapest = min(value, key=value.__getitem__)
+        value[cheapest] *= 1.0 + self.settings.class_weight / max(self.asked.part(cheapest), 0.01)
+        mean = self.asked.mean() or value[kind.name]
+        return float(longest * min(1.0, value[kind.name] / mean) ** YIELD)
 
     def _inside(self, held: Held) -> bool:
         account, plan = held.account, held.account.plan
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -69,6 +69,7 @@
     fall_time: float = 1.0
     ask_for_servers: bool = False
     cross_zone_price: float = 0.0
+    class_weight: float = 0.0  # of the worst-served class in the goal, against that of all worth together
 
     def __post_init__(self) -> None:
         """Settings that cannot be acted on are refused at once, by name."""
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -62,6 +62,27 @@
         return sum(self.charged.values()) + sum(self.heard.values())
 
 
+class Asked:
+    """What was asked for lately, by class: worth, and seconds of work."""
+
+    def __init__(self, span: float) -> None:
+        self.share, self.worth, self.work = 1.0 / span, dict[str, float](), dict[str, float]()
+
+    def add(self, kind: str, worth: float, work: float) -> None:
+        for sums, amount in ((self.worth, worth), (self.work, work)):
+            for name in sums:
+                sums[name] *= 1.0 - self.share
+            sums[kind] = sums.get(kind, 0.0) + amount
+
+    def mean(self) -> float:
+        """Worth for a second of work."""
+        return sum(self.worth.values()) / sum(self.work.values()) if self.work else 0.0
+
+    def part(self, kind: str) -> float:
+        """Of all worth."""
+        return self.worth.get(kind, 0.0) / sum(self.worth.values()) if self.worth else 0.0
+
+
 class Window:
     """A sum over the latest stretch of time."""
 
--- a/hazelhollow/wire.py
+++ b/hazelhollow/wire.py
@@ -147,7 +147,8 @@
 def parse_settings(params: Fields) -> api.Settings:
     """The settings, which a real limiter's configuration holds in the same form."""
     info, limits = params.part("family_info"), params.part("policy_limits")
-    safety, costs = params.part("safety"), params.part("costs")
+    safety, costs, goal = params.part("safety"), params.part("costs"), params.part("goal")
+    all_worth = max(goal.number("whole", 1.0) + goal.number("worst_window", 0.0), 1e-6)
     return api.Settings(
         me=params.integer("position"),
         gateways=params.integer("balancers"),
@@ -171,6 +172,7 @@
         fall_time=safety.number("tip_after", 1.0),
         ask_for_servers=params.text("registry_mode", "push") == "ask",
         cross_zone_price=costs.number("cross_zone", 0.0),
+        class_weight=goal.number("worst_class", 0.0) / all_worth,
     )
 
 
--- a/tests/test_two_sites.py
+++ b/tests/test_two_sites.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from hazelhollow import interface as api
 from hazelhollow import wire
+from hazelhollow.decide import Gateway
 from hazelhollow.net import issuer, resp
 from tests.scenario import PLAN, SETTINGS, Stage
+from tests.test_gateway import ask, entry, only, servers
 
 SETTLED = replace(SETTINGS, post_paid=True, max_units=4.0, plans=(replace(PLAN, rate=1.0, burst=8.0),))
 GUESS = "[Q.ASK 00000000b4d65521 r{0} c=look,t=basic,d=1000,units={1},spread=1,first=0]"
@@ -78,3 +81,39 @@
 @pytest.mark.parametrize("answer", [[b"v"], [b"v", None], [b"v", None, None], [b"v", [b"x"], 7]])
 def test_an_answer_without_figures_is_an_answer(answer: list[resp.Value]) -> None:
     assert issuer.read_answer(answer) == issuer.Result("ok", b"v")
+
+
+CHEAP = api.RequestClass("cheap", aim=1.5, deadline=6.0, worth=2.0, effect="safe")
+DEAR = api.RequestClass("dear", aim=1.0, deadline=4.0, worth=6.0, effect="unsafe")
+
+
+def pressed(**changes: float) -> dict[str, int]:
+    """How many of each class a limiter lets in of as many of both, with nothing answered."""
+    plan = api.Plan("basic", rate=1000.0, burst=1000.0)
+    told = api.Settings(0, 1, (CHEAP, DEAR), (plan,), max_units=4.0, max_attempts=3, **changes)  # type: ignore[arg-type]
+    gateway, sent = Gateway(told, seed=1), {"cheap": 0, "dear": 0}
+    gateway.handle(servers("full", *(entry(f"s{n}") for n in range(4))), 100.0)
+    for turn in range(100):
+        for name in sent:
+            sent[name] += len(only(ask(gateway, 100.0 + turn / 1000, name, spread=1), api.Send))
+    return sent
+
+
+def test_under_pressure_the_class_of_less_worth_gives_way_first() -> None:
+    assert pressed()["dear"] >= 2 * pressed()["cheap"] > 0
+
+
+def test_a_goal_that_weighs_the_worst_served_class_lets_none_give_way() -> None:
+    sent = pressed(class_weight=1.0)
+    assert 0.7 * sent["dear"] <= sent["cheap"] <= 1.5 * sent["dear"]
+
+
+@pytest.mark.parametrize(
+    ("goal", "weight"),
+    [({}, 0.0), ({"whole": 0.5, "worst_window": 0.25, "worst_class": 0.15}, 0.2), ({"whole": 0.0, "worst_class": 1.0}, 1e6),
+     ({"whole": 0.45, "worst_window": 0.4, "worst_class": 0.0, "worst_tenant": 0.15}, 0.0)],
+)  # fmt: skip
+def test_the_goal_tells_what_the_worst_class_weighs(goal: dict[str, float], weight: float) -> None:
+    grades = [{"name": "a", "objective": 1.0, "deadline": 2.0, "effect": "pure"}]
+    told = wire.parse_settings(wire.Fields("s", {"position": 0, "balancers": 1, "grades": grades, "goal": goal}))
+    assert told.class_weight == pytest.approx(weight)
