--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -191,8 +191,8 @@
 
     def _limit(self, kind: api.RequestClass) -> float:
         """A class may fill the queues only as far as each class worth as much for its work can bear: by its
-        own aim the longest took all. What is worth less than the mean gives way, but not the
-        class that is served worst where the goal weighs that. A large fleet, told late, keeps to the tightest."""
+        own aim the longest took all. What is worth less than the mean gives way, but not the class that is
+        served worst where the goal weighs that. A large fleet, told late, keeps to the tightest."""
         value = {c.name: c.worth * self.units[c.name] / self.work[c.name] for c in self.settings.classes}
         if not self.small:
             return self.tight * value[kind.name] / max(value.values())
