First tries are told from late retries by the patience that many come with

Cause: decide._admit took a try for a late retry where its patience was under the longest seen.

Change: state.Patience learns the values that many tries come with; such a patience shows no age. Where clients mark retries (clients.marks_retry, read now), an unmarked try is never late.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -33,6 +33,7 @@
 CANDIDATES = 4  # servers compared for a request, where loads are not known
 GAIN = 0.1  # of the newest sample in a learned mean
 PRESSURE = 0.35  # a first try is refused when the shortest wait passes this share of the tightest aim
+NEAR = 0.01  # of the deadline: tries whose patience differs by less come with the same
 ADVICE = 0.25  # of the aim: how long to stay away under pressure and still come back in time
 LEFTOVER = 0.1  # the same for excess worth its cost, and its share of the charges inside budgets
 RETRY_SHARE = 0.1  # further attempts for each first one, so that retries cannot feed an overload
@@ -178,10 +179,11 @@
         # chance so that not all shed at once. Holds against any overload; may hurt just after its end.
         wait = wait if self.small else max(wait, self.wait * self.random.uniform(0.5, 1.0))
         # A retry's cut patience shows its age: past its aim it must not take the place of one that can be in
-        # time, whatever the pressure comes from. May hurt where patience differs by client.
+        # time, whatever the pressure comes from. A patience that many come with is the clients' way, no age.
         kind, patience = held.kind, held.event.patience
-        longest = self.patience[kind.name] = max(self.patience[kind.name], patience)
-        late = patience < longest - self.settings.tick and kind.deadline - patience > kind.aim
+        usual = self.patience[kind.name].common(patience, NEAR * kind.deadline)
+        first = usual or (self.settings.marks_retry and not held.event.repeat)
+        late = not first and kind.deadline - patience > kind.aim
         if server is None or wait > (LEFTOVER if late or not held.inside else PRESSURE) * limit:
             self._refuse(held, ADVICE * kind.aim, "late" if late else "pressure" if server else "no server")
             return
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -63,6 +63,7 @@
     peers: bool = False
     messages_in_per_s: float = 60.0
     max_retry_after: float = 0.0
+    marks_retry: bool = False  # clients say of a repeat that it is one
     cold_for: float = 0.0
     cold_from: float = 1.0
     fall_multiple: float = 1.0
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -83,6 +83,28 @@
         return self.worth.get(kind, 0.0) / sum(self.worth.values()) if self.worth else 0.0
 
 
+class Patience:
+    """How long clients of a class wait: the few values that most tries come with, by votes that cancel out."""
+
+    __slots__ = ("votes",)
+    MOST, COMMON, ENOUGH = 3, 5, 1000
+
+    def __init__(self) -> None:
+        self.votes: dict[float, int] = {}
+
+    def common(self, patience: float, near: float) -> bool:
+        """Counts one more try; whether many come with that patience."""
+        for value in self.votes:
+            if abs(value - patience) <= near:
+                self.votes[value] = min(self.votes[value] + 1, self.ENOUGH)
+                return self.votes[value] >= self.COMMON
+        if len(self.votes) < self.MOST:
+            self.votes[patience] = 1
+        else:
+            self.votes = {value: count - 1 for value, count in self.votes.items() if count > 1}
+        return False
+
+
 class Window:
     """A sum over the latest stretch of time."""
 
@@ -245,7 +267,7 @@
         self.plans = {p.name: p for p in settings.plans}
         self.units = {c.name: 1.0 for c in settings.classes}  # learned mean units
         self.work = {c.name: c.aim / 6 for c in settings.classes}  # learned seconds of a mean request
-        self.patience = {c.name: 0.0 for c in settings.classes}  # the longest seen
+        self.patience = {c.name: Patience() for c in settings.classes}
         self.accounts: dict[str, Account] = {}
         self.servers: dict[str, Server] = {}
         self.tagged: dict[str, Server] = {}  # by the name in messages
@@ -275,7 +297,7 @@
         for c in settings.classes:
             self.units.setdefault(c.name, 1.0)
             self.work.setdefault(c.name, c.aim / 6)
-            self.patience.setdefault(c.name, 0.0)
+            self.patience.setdefault(c.name, Patience())
 
     def end(self, request: str) -> None:
         """Nothing is owed any more."""
--- a/hazelhollow/wire.py
+++ b/hazelhollow/wire.py
@@ -166,6 +166,7 @@
         # Also where `retry_after` is false: the simulator drops the advice then, but `-BUSY MS` costs nothing and
         # a client that reads it need not guess when to come back.
         max_retry_after=limits.number("max_retry_after", 0.0),
+        marks_retry=params.part("clients").flag("marks_retry"),
         cold_for=safety.number("cold", 0.0),
         cold_from=safety.number("cold_from", 1.0),
         fall_multiple=safety.number("tip_multiple", 1.0),
