Work is learned by class and units, and a host's pace more steadily

Change: work is learned by class and number of units, at a quarter of the class's speed; a host's pace at half its speed.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -29,6 +29,7 @@
 SPENT = -1  # in place of a period: the level, for the set
 TOGETHER, MEETING = 1.0, 3.0  # seconds between the starts of gateways that began as one; to meet in
 SILENT = 2.0  # periods without a word before a peer counts as silent
+SIZES = 8  # units up to which work is learned for each number of them
 WIDTH = 2.0  # requests that a server of middling weight is taken to work on at once
 CANDIDATES = 4  # servers compared for a request, where loads are not known
 GAIN = 0.1  # of the newest sample in a learned mean
@@ -160,6 +161,7 @@
         account = self._account(key, plan, event.first_gateway, spread)
         account.used = self.now
         held = Held(event, kind, key, account, self.now, self.settings.max_attempts)
+        held.size = min(round(event.units), SIZES)
         self.units[kind.name] += GAIN * (event.units - self.units[kind.name])
         held.inside = self._inside(held)
         if held.inside:
@@ -467,7 +469,7 @@
         attempt = held.attempts[event.attempt]
         attempt.out, attempt.may_have_run = False, event.status not in NEVER_RAN
         attempt.server.out.pop((event.id, event.attempt), None)
-        self._learn(attempt, held.kind, event)
+        self._learn(attempt, held, event)
         if event.true_units and held.inside and not held.settled:
             held.settled = True
             period = max(int(held.came // PERIOD), self.period - 1)
@@ -490,7 +492,8 @@
             fail, advice = api.Fail(held.event.id), ADVICE * held.kind.aim
             self._refuse(held, advice, "given up") if may_refuse(held) else self.actions.append(fail)
 
-    def _learn(self, attempt: Attempt, kind: api.RequestClass, event: api.Outcome) -> None:
+    def _learn(self, attempt: Attempt, held: Held, event: api.Outcome) -> None:
+        kind, sized = held.kind, (held.kind.name, held.size)
         server, waited = attempt.server, event.elapsed - attempt.work > self.wait
         server.since = self.now if event.status in ("ok", "error", "full") else server.since
         # Late while others hardly wait is a failure of this server, whatever slowed it; it may die next. In
@@ -498,11 +501,13 @@
         slow = event.elapsed > kind.aim and self.wait < PRESSURE * self.tight
         if event.status == "ok":
             self.stay += GAIN * (event.elapsed - self.stay)
-            # Bounded steps: a few costly requests must not pass for a slow server; many slow answers must.
+            # Bounded steps: a few costly requests must not pass for a slow server; many slow answers must. By
+            # faster ones, which follow single answers, a gateway kept to servers that had looked well once.
             base = server.pace * (attempt.work + attempt.backlog / server.width)
             step = GAIN * min(event.elapsed / max(base, self.settings.tick) - 1, 1.0)
             self.work[kind.name] *= 1 + step / 5
-            server.pace *= 1 + step
+            self.sized[sized] = self.sized.get(sized, 1.0) * (1 + step / 20)
+            server.pace *= 1 + step / 2
             for health in [server.health[n] for n in ("", kind.name) if n in server.health and not slow]:
                 health.failures, health.ejections = health.failures / 2, 0
         if (slow or event.status != "ok") and event.status not in ("cancelled", "moot"):
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -248,6 +248,7 @@
         self.most = most  # attempts, as the settings said when it came: they may say fewer later
         self.came, self.aim_at, self.deadline = now, now + kind.aim, now + event.patience
         self.attempts: list[Attempt] = []
+        self.size = 0  # by which its work is known
         self.inside = self.ended = self.settled = False
 
     def out(self) -> bool:
@@ -285,6 +286,7 @@
         self.warm_sent = Window(settings.fall_time)  # work sent to warm servers
         self.said: tuple[float, str, list[str]] = (-1.0, "", [])  # when, head and words of the last message
         self.latest = ("", "")  # customer and key
+        self.sized: dict[tuple[str, int], float] = {}  # by class and size: times what the class alone says
         self.leftover = self.wait = 0.0  # units; seconds that answers waited lately
         self.born, self.whole = 0.0, False  # its start, and whether it is known that all others began then too
         self.now, self.period, self.flushed, self.life = 0.0, 0, 0, ""
@@ -314,7 +316,9 @@
         return sum(self.units.values()) / len(self.units)
 
     def work_of(self, held: Held) -> float:
-        return self.work[held.kind.name] * 0.5 * (1.0 + held.event.units / self.units[held.kind.name])
+        """Seconds of work that it is taken to be: its class's, at first by half its units, and what its size showed."""
+        usual = self.work[held.kind.name] * 0.5 * (1.0 + held.event.units / self.units[held.kind.name])
+        return usual * self.sized.get((held.kind.name, held.size), 1.0)
 
     def hanging(self, times: float, least: float) -> list[tuple[Held, int]]:
         """Attempts out for longer than so many times what is usual for them, and than the least."""
--- a/tests/test_two_sites.py
+++ b/tests/test_two_sites.py
@@ -117,3 +117,21 @@
     grades = [{"name": "a", "objective": 1.0, "deadline": 2.0, "effect": "pure"}]
     told = wire.parse_settings(wire.Fields("s", {"position": 0, "balancers": 1, "grades": grades, "goal": goal}))
     assert told.class_weight == pytest.approx(weight)
+
+
+def test_work_is_learned_for_each_number_of_units() -> None:
+    """Where units are a guess, a large one may mean far more work than its number says, and the hosts must be
+    chosen and filled by that."""
+    plan = api.Plan("basic", rate=1000.0, burst=1000.0)
+    gateway = Gateway(api.Settings(0, 1, (CHEAP,), (plan,), max_units=4.0, max_attempts=3), seed=1)
+    gateway.handle(servers("full", *(entry(f"s{n}") for n in range(4))), 100.0)
+    for turn in range(2000):
+        units, now = 1.0 + 3.0 * (turn % 2), 100.0 + turn / 10
+        (send,) = only(ask(gateway, now, "cheap", spread=1, units=units), api.Send)
+        gateway.handle(api.Outcome(send.id, 0, send.server, "ok", 0.1 if units == 1.0 else 1.0, True), now)
+    by_units = []
+    for units in (1.0, 4.0):
+        (send,) = only(ask(gateway, 310.0, "cheap", spread=1, units=units), api.Send)
+        by_units.append(gateway.held[send.id].attempts[0].work)
+        gateway.handle(api.Outcome(send.id, 0, send.server, "ok", 0.1, True), 310.0)
+    assert by_units[1] > 6 * by_units[0]
