A rig of real processes with faults between them, drills and an independent checker

Nothing here could start a fleet, let alone break one.

Change: `hazelhollow fleet` (up, status, kill, start, pause, resume, cut, heal, down; drill, replay, shrink) in hazelhollow/rig; stand-ins for the network (datagrams and TCP, faults by pair and direction) and for discovery; `standin node` starts cold, drains and writes down what it began.

--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -16,6 +16,7 @@
     "ask": ("hazelhollow.ask", "ask"),
     "bench": ("hazelhollow.bench.commands", "bench"),
     "config": ("hazelhollow.operator.commands", "config"),
+    "fleet": ("hazelhollow.rig.commands", "fleet"),
     "standin": ("hazelhollow.standins.commands", "standin"),
 }
 
--- /dev/null
+++ b/hazelhollow/rig/__init__.py
@@ -0,0 +1,1 @@
+"""The rig: a whole fleet of real processes on loopback, faults between them, and a checker of what came of it."""
--- /dev/null
+++ b/hazelhollow/rig/clients.py
@@ -0,0 +1,128 @@
+"""The clients of a drill: requests at times laid down ahead, each on a connection of its own while it is out.
+
+What became of each goes into a file, a JSON line a request. Times are Unix seconds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import IO, Any
+
+import orjson
+
+from hazelhollow.net import resp, stream
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net.ending import Ending
+from hazelhollow.rig.plan import Load
+
+PATIENCE = {"look": 1.5, "buy": 1.0}  # seconds
+GRACE = 0.5  # seconds past its patience that a client looks for an answer, to tell late from never
+CONNECT = 0.5
+MOST_OUT = 1 << 16
+
+
+@dataclass(eq=False)
+class Line:
+    driver: stream.Stream
+    parser: resp.Parser = field(default_factory=resp.Parser)
+
+
+@dataclass(eq=False)
+class Door:
+    """A limiter as its clients see it."""
+
+    name: str
+    number: int
+    address: tuple[str, int]
+    idle: deque[Line] = field(default_factory=deque)
+
+
+class Clients:
+    def __init__(self, scheduler: sch.Scheduler, seed: int, out: IO[bytes], spread: int) -> None:
+        self.scheduler, self.random, self._out, self.spread = scheduler, random.Random(seed), out, spread
+        self.sent = self.open = 0
+        self.most_late = 0.0  # seconds by which a request went out after its time: the drill's own slowness
+        self.outcomes: dict[str, int] = {}
+
+    def run(self, door: Door, load: Load, begin: float, end: float) -> None:
+        """Until `end`: a request each 1/rate seconds, whatever becomes of the ones before."""
+        at = begin + self.random.random() / load.rate
+        while at < end:
+            now = self.scheduler.clock()
+            if now < at:
+                self.scheduler.sleep(at - now)
+            self.most_late = max(self.most_late, self.scheduler.clock() - at)
+            self.scheduler.spawn(self._one, door, load, name="client")
+            at += 1.0 / load.rate
+
+    def _one(self, door: Door, load: Load) -> None:
+        request = f"{self.random.getrandbits(64):016x}"
+        began = self.scheduler.clock()
+        self.sent, self.open = self.sent + 1, self.open + 1
+        row: dict[str, Any] = {
+            "t": began, "id": request, "to": door.name, "customer": load.customer, "plan": load.plan, "kind": load.kind,
+            "units": load.units, "patience": PATIENCE[load.kind], "extra": 0,
+        }  # fmt: skip
+        outcome, value = self._ask(door, load, request, began, row)
+        if outcome == "crossed":  # the limiter ended the connection between requests, as it may: once more
+            outcome, value = self._ask(door, load, request, began, row, fresh=True)
+        row |= {"end": self.scheduler.clock(), "outcome": outcome, "value": value}
+        self._out.write(orjson.dumps(row) + b"\n")
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        self.open -= 1
+
+    def _ask(
+        self, door: Door, load: Load, request: str, began: float, row: dict[str, Any], fresh: bool = False
+    ) -> tuple[str, str]:
+        patience = PATIENCE[load.kind]
+        line = None if fresh or not door.idle else door.idle.pop()
+        used = line is not None
+        if line is None:
+            made = stream.connect(self.scheduler, door.address, MOST_OUT, CONNECT)
+            if isinstance(made, Ending):
+                return "refused", ""
+            line = Line(made)
+        left = int((began + patience - self.scheduler.clock()) * 1000)
+        fields = f"c={load.kind},t={load.plan},d={max(left, 1)},units={load.units},spread={self.spread},first=0"
+        verb = b"Q.ASK" if load.kind == "look" else b"Q.DO"
+        words = [verb, load.customer.encode(), request.encode(), fields.encode(), *([b"BODY"] if verb == b"Q.DO" else [])]
+        line.driver.write(resp.command(words))
+        line.driver.flush()
+        answer = self._answer(line, began + patience + GRACE)
+        if isinstance(answer, Ending):
+            line.driver.close(answer)
+            return _ended(answer, used), ""
+        if not isinstance(line.parser.next(), resp.More):
+            row["extra"] += 1
+        door.idle.append(line)
+        return _read(answer)
+
+    def _answer(self, line: Line, until: float) -> resp.Value | Ending:
+        while isinstance(answer := line.parser.next(), resp.More):
+            if line.driver.wait(until) == sch.TIMEOUT:
+                return Ending.TIMED_OUT
+            data = line.driver.read(stream.CHUNK)
+            if isinstance(data, Ending):
+                return data
+            if data:
+                line.parser.feed(data)
+        return answer
+
+
+def _ended(ending: Ending, used: bool) -> str:
+    if ending is Ending.TIMED_OUT:
+        return "silent"
+    if ending is Ending.CLOSED:
+        return "crossed" if used else "closed"
+    return "reset"
+
+
+def _read(answer: resp.Value) -> tuple[str, str]:
+    first = answer[0] if isinstance(answer, list) and answer else answer
+    if isinstance(first, resp.Fault):
+        return ("declined" if first.startswith(b"BUSY") else "failed"), first.decode(errors="replace")
+    if isinstance(first, bytes) and not isinstance(first, resp.Simple):
+        return "served", first.decode(errors="replace")
+    return "failed", ""
--- /dev/null
+++ b/hazelhollow/rig/control.py
@@ -0,0 +1,192 @@
+"""A fleet that stays up: its supervisor takes one JSON line a connection at an address that a file names."""
+
+from __future__ import annotations
+
+import os
+import secrets
+import signal
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net import stream
+from hazelhollow.net.ending import Ending
+from hazelhollow.rig.plan import Plan
+from hazelhollow.rig.world import World
+from hazelhollow.standins.relay import Fault
+
+FILE = "rig.json"  # address, token and number of the supervisor; readable by its owner alone
+PORT = 7100
+MOST = 1 << 16
+WITHIN = 10.0  # seconds for a command
+LOOK = 0.1  # seconds between looks at processes that have ended
+
+
+class CommandError(Exception):
+    """A command that cannot be done; says why."""
+
+
+class Supervisor:
+    def __init__(self, plan: Plan, folder: Path, operator: Callable[[str, Path], str] | None = None) -> None:
+        self.scheduler, self.folder = sch.Scheduler(sch.Clock()), folder
+        self.world = World(self.scheduler, plan, folder, operator=operator)
+        self.token, self._stopping = secrets.token_hex(16), False
+        self._sock = socket.create_server(self.world.own(250, PORT), backlog=16)
+        self._sock.setblocking(False)
+        self.error: BaseException | None = None
+
+    def run(self, ready: Callable[[World], None]) -> None:
+        """Until `down`, SIGTERM or Ctrl-C; then no process, socket or file is left."""
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda *_: self.scheduler.stop())
+        self.scheduler.spawn(self._begin, ready, name="begin")
+        self.scheduler.spawn_lasting(self._look, "look")
+        try:
+            self.scheduler.run()
+        finally:
+            self._sock.close()
+            self.world.close()
+        if self.error:
+            raise self.error
+
+    def _begin(self, ready: Callable[[World], None]) -> None:
+        try:
+            self.world.start()
+            document = {"address": list(self._sock.getsockname()), "token": self.token, "pid": os.getpid()}
+            with open(os.open(self.folder / FILE, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "wb") as file:
+                file.write(orjson.dumps(document))
+            self.scheduler.spawn_lasting(self._accept, "control")
+            ready(self.world)
+        except BaseException as error:
+            self.error = error
+            self.scheduler.stop()
+
+    def _look(self) -> None:
+        while True:
+            for name in self.world.crew.members:
+                self.world.crew.reap(name)
+            self.scheduler.sleep(LOOK)
+
+    def _accept(self) -> None:
+        for sock in stream.accepted(self.scheduler, self._sock):
+            self.scheduler.spawn(self._serve, stream.Stream(self.scheduler, sock, MOST), name="command")
+
+    def _serve(self, driver: stream.Stream) -> None:
+        until, held = self.scheduler.clock() + WITHIN, b""
+        while not held.endswith(b"\n"):
+            if driver.wait(until) == sch.TIMEOUT or len(held) > MOST:
+                driver.close(Ending.TIMED_OUT)
+                return
+            data = driver.read(MOST)
+            if isinstance(data, Ending):
+                driver.close(data)
+                return
+            held += data or b""
+        try:
+            answer = {"done": self._do(orjson.loads(held))}
+        except (CommandError, KeyError, TypeError, orjson.JSONDecodeError) as error:
+            answer = {"error": str(error)}
+        driver.write(orjson.dumps(answer) + b"\n")
+        driver.flush()
+        driver.close(Ending.CLOSED)
+        if self._stopping:
+            self.scheduler.stop()
+
+    def _do(self, words: dict[str, Any]) -> Any:
+        if not secrets.compare_digest(str(words.get("token", "")), self.token):
+            raise CommandError("not the token of this fleet")
+        verb = words.get("do")
+        if verb == "status":
+            return self.status()
+        if verb == "down":
+            self._stopping = True
+            return "down"
+        if verb == "heal":
+            self.world.relay.heal()
+            return "every link is whole"
+        if verb == "cut":
+            return self._cut(words["a"], words["b"], bool(words.get("one_way")))
+        if verb in ("kill", "start", "pause", "resume"):
+            return self._process(verb, words["name"])
+        raise CommandError(f"no command {verb!r}")
+
+    def _cut(self, a: str, b: str, one_way: bool) -> str:
+        known = {*self.world.crew.members, "d", "c"}
+        for name in (a, b):
+            if name not in known:
+                raise CommandError(f"no process {name!r}; there are {', '.join(sorted(known))}")
+        if a == b:
+            raise CommandError("a link is between two")
+        self.world.relay.begin(Fault(cut=True), [(a, b)] if one_way else [(a, b), (b, a)])
+        return f"{a} no longer reaches {b}" + ("" if one_way else ", nor the other way")
+
+    def _process(self, verb: str, name: str) -> str:
+        crew = self.world.crew
+        if name not in crew.members:
+            raise CommandError(f"no process {name!r}; there are {', '.join(sorted(crew.members))}")
+        one = crew.members[name]
+        if verb == "start":
+            if one.running:
+                raise CommandError(f"{name} runs already")
+            crew.start(name)
+        elif not one.running:
+            raise CommandError(f"{name} does not run")
+        else:
+            crew.signal(name, {"kill": signal.SIGKILL, "pause": signal.SIGSTOP, "resume": signal.SIGCONT}[verb])
+        return f"{verb} {name}"
+
+    def status(self) -> dict[str, Any]:
+        """What runs, what each limiter says of itself and of the others, and which links are not whole."""
+        found: dict[str, Any] = {"processes": [], "links": []}
+        for name, one in self.world.crew.members.items():
+            state = "paused" if one.paused and one.running else "running" if one.running else "ended"
+            row = {"name": name, "pid": one.pid, "state": state, "starts": one.starts}
+            if name in self.world.names and state == "running":
+                row["ready"] = self.world.call(name, "check").startswith(b"done")
+                row["address"] = ":".join(map(str, self.world.door(name)))
+            view = last_view(self.folder / f"{name}.view.jsonl")
+            if view and state == "running":
+                row["view"] = view
+            found["processes"].append(row)
+        for (a, b), link in sorted(self.world.relay.links.items()):
+            if link.faults:
+                found["links"].append({"from": a, "to": b, "faults": len(link.faults), "lost": link.lost})
+        return found
+
+
+def last_view(path: Path) -> dict[str, Any] | None:
+    """The last whole line of a limiter's views."""
+    try:
+        lines = path.read_bytes().split(b"\n")
+    except OSError:
+        return None
+    for line in reversed(lines[:-1]):
+        try:
+            members: dict[str, Any] = orjson.loads(line)["members"]
+            return members
+        except (orjson.JSONDecodeError, KeyError):
+            continue
+    return None
+
+
+def command(folder: Path, **words: Any) -> Any:
+    """Asks the supervisor whose file is in that folder. Raises CommandError."""
+    try:
+        told = orjson.loads((folder / FILE).read_bytes())
+        with socket.create_connection(tuple(told["address"]), timeout=WITHIN) as sock:
+            sock.sendall(orjson.dumps(words | {"token": told["token"]}) + b"\n")
+            answer = b""
+            while chunk := sock.recv(MOST):
+                answer += chunk
+        document = orjson.loads(answer)
+    except FileNotFoundError:
+        raise CommandError(f"no fleet is up in {folder}") from None
+    except (OSError, orjson.JSONDecodeError) as error:
+        raise CommandError(f"the fleet of {folder} does not answer: {error}") from None
+    if "error" in document:
+        raise CommandError(document["error"])
+    return document["done"]
--- /dev/null
+++ b/hazelhollow/rig/drill.py
@@ -0,0 +1,199 @@
+"""One drill: a fleet comes up, clients ask, the plan's faults happen, and files of all of it are left for the checker."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import IO, Any
+
+import orjson
+
+from hazelhollow.net import scheduler as sch
+from hazelhollow.rig import checker
+from hazelhollow.rig.clients import Clients, Door
+from hazelhollow.rig.plan import LINKS, Event, Plan, last_end, pairs, spread_out, write
+from hazelhollow.rig.world import World
+from hazelhollow.standins.relay import Fault
+
+LISTED_AFTER = 1.5  # seconds until discovery knows that a host has died or is back
+END_WITHIN = 4.0  # seconds for requests that are out, and for processes that were told to end
+SETTLE_WITHIN = 6.0  # seconds past the last fault that a drill goes on at least, so that views can settle
+GIVE_UP = 0.02  # seconds between looks
+SIGNALS = {"kill": signal.SIGKILL, "pause": signal.SIGSTOP, "restart": signal.SIGTERM}
+
+Progress = Callable[[str], None]
+
+
+class Drill:
+    """`folder` exists and is empty. `operator` as for World."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        progress: Progress = lambda text: None,
+        operator: Callable[[str, Path], str] | None = None,
+        keep: bool = False,
+    ) -> None:
+        self.plan, self.folder, self.progress = plan, folder, progress
+        self.scheduler = sch.Scheduler(sch.Clock())
+        (folder / "plan.json").write_bytes(write(plan))
+        self.world = World(self.scheduler, plan, folder, keep, operator)
+        self._faults: IO[bytes] = (folder / "faults.jsonl").open("wb")
+        self._relay: IO[bytes] = (folder / "relay.jsonl").open("wb")
+        self._requests: IO[bytes] = (folder / "clients.jsonl").open("wb")
+        self.clients = Clients(self.scheduler, plan.seed, self._requests, plan.instances)
+        self.error: BaseException | None = None
+        self.begin = self.cpu_at_begin = 0.0
+
+    def run(self) -> dict[str, Any]:
+        """The checker's figures. Raises RigError if the fleet did not come up."""
+        self.scheduler.spawn(self._guarded, name="drill")
+        try:
+            self.scheduler.run()
+            self.world.stop()
+            for file in (self._faults, self._relay, self._requests):
+                file.close()
+            if self.error:
+                raise self.error
+            return checker.check(self.folder) | self._cost()
+        finally:
+            self.world.close()
+
+    def _guarded(self) -> None:
+        try:
+            self._play()
+        except BaseException as error:
+            self.error = error
+        finally:
+            self.scheduler.stop()
+
+    def _play(self) -> None:
+        plan, world = self.plan, self.world
+        self.progress(f"{plan.name}: {plan.instances} limiters and {plan.hosts} hosts start")
+        world.start()
+        self.begin = self.scheduler.clock() + 0.2
+        self.cpu_at_begin = sum(world.crew.cpu_of(name) for name in world.names)
+        self._note(what="load", t=self.begin, until=self.begin + plan.seconds, whom=[])
+        for name in world.names:
+            door = Door(name, world.names.index(name), world.door(name))
+            for load in plan.load:
+                self.scheduler.spawn(self.clients.run, door, load, self.begin, self.begin + plan.seconds, name="clients")
+        self.scheduler.spawn_lasting(self._count, "count")
+        for event in spread_out(plan):
+            self.scheduler.at(self.begin + event.at, self.scheduler.spawn, self._happen, event)
+        end = self.begin + max(plan.seconds, last_end(plan) + SETTLE_WITHIN if plan.events else 0.0)
+        while (now := self.scheduler.clock()) < end:
+            self.progress(f"{plan.name}: {now - self.begin:5.1f} of {end - self.begin:.0f} s, {self.clients.sent} requests")
+            self.scheduler.sleep(min(1.0, end - now))
+        while self.clients.open and self.scheduler.clock() < end + END_WITHIN:
+            self.scheduler.sleep(GIVE_UP)
+        self.world.relay.heal()
+
+    def _cost(self) -> dict[str, Any]:
+        """CPU and memory of the limiters, and how late the drill's own clients were."""
+        lives = [self.world.crew.members[name] for name in self.world.names]
+        cpu, sent = sum(one.cpu for one in lives) - self.cpu_at_begin, max(1, self.clients.sent)
+        return {
+            "cpu_per_request_us": round(1e6 * cpu / sent, 1),
+            "cpu_per_request_ratio": None,
+            "most_memory_mb": round(max(one.most_kb for one in lives) / 1024, 1),
+            "drill_late_s": round(self.clients.most_late, 3),
+        }
+
+    def _note(self, **line: Any) -> None:
+        line.setdefault("t", self.scheduler.clock())
+        self._faults.write(orjson.dumps(line) + b"\n")
+        self._faults.flush()
+
+    # Faults
+
+    def _happen(self, event: Event) -> None:
+        self.progress(f"{self.plan.name}: {event.what} {' '.join(event.whom)} for {event.lasts:g} s")
+        if event.what in LINKS:
+            self._links(event)
+        elif event.what == "discovery_down":
+            self.world.discovery.set_down(True)
+            self._note(what=event.what, whom=["d"], on=True)
+            self.scheduler.sleep(event.lasts)
+            self.world.discovery.set_down(False)
+            self._note(what=event.what, whom=["d"], on=False)
+        else:
+            for name in event.whom:
+                self.scheduler.spawn(self._process, event, name, name="fault")
+
+    def _links(self, event: Event) -> None:
+        fault = {
+            "cut": Fault(cut=True),
+            "stall": Fault(stalled=True),
+            "reset": Fault(reset=True),
+            "delay": Fault(delay=event.amount),
+            "lose": Fault(lose=event.amount),
+            "double": Fault(double=event.amount),
+            "reorder": Fault(reorder=event.amount),
+            "thin": Fault(thin=event.amount),
+        }[event.what]
+        hit = pairs(self.plan, event)
+        number = self.world.relay.begin(fault, hit)
+        self._note(what=event.what, pairs=hit, number=number, on=True, amount=event.amount)
+        self.scheduler.sleep(event.lasts)
+        self.world.relay.end(number)
+        self._note(what=event.what, pairs=hit, number=number, on=False)
+
+    def _process(self, event: Event, name: str) -> None:
+        """One that another fault has in hand already is left to it."""
+        crew, one = self.world.crew, self.world.crew.members[name]
+        if not one.running or one.paused:
+            return
+        self._note(what=event.what, whom=[name], on=True)
+        life = one.starts
+        crew.signal(name, SIGNALS[event.what])
+        if event.what == "pause":
+            self.scheduler.sleep(event.lasts)
+            if one.starts == life and one.running:
+                crew.signal(name, signal.SIGCONT)
+                self._note(what="pause", whom=[name], on=False)
+            return
+        until = self.scheduler.clock() + END_WITHIN
+        while not crew.reap(name):
+            if self.scheduler.clock() > until:
+                crew.signal(name, signal.SIGKILL)
+            self.scheduler.sleep(GIVE_UP)
+        if name in self.world.hosts:
+            self.scheduler.at(self.scheduler.clock() + LISTED_AFTER, self._list_host, name)
+        if event.what == "kill" and not event.lasts:
+            return
+        self.scheduler.sleep(event.lasts)
+        crew.start(name)
+        if name in self.world.names:
+            self.world.await_ready([name])
+        self._note(what=event.what, whom=[name], on=False)
+
+    def _list_host(self, name: str) -> None:
+        """What discovery learns of a host's life."""
+        one, host = self.world.crew.members[name], self.world.discovery.hosts[name]
+        if one.running:
+            self.world.set_host(name, "up", self.scheduler.clock() - LISTED_AFTER)
+        elif host.state != "gone":
+            self.world.set_host(name, "gone")
+            self.scheduler.spawn(self._until_back, name, name="host back")
+
+    def _until_back(self, name: str) -> None:
+        while not self.world.crew.members[name].running:
+            self.scheduler.sleep(0.1)
+        self.scheduler.at(self.scheduler.clock() + LISTED_AFTER, self._list_host, name)
+
+    def _count(self) -> None:
+        """What crossed between limiters, second by second."""
+        before: dict[str, Any] = {}
+        while True:
+            self.scheduler.sleep(1.0)
+            counts = {k: v for k, v in self.world.relay.counts().items() if set(k.split(">")) <= set(self.world.names)}
+            now = {kind: sum(count[kind] for count in counts.values()) for kind in ("passed", "lost", "bytes")}
+            if before:
+                row = {"t": self.scheduler.clock(), "members": sum(self.world.crew.members[n].running for n in self.world.names)}
+                row["datagrams"] = now["passed"] + now["lost"] - before["passed"] - before["lost"]
+                row["bytes"] = now["bytes"] - before["bytes"]
+                self._relay.write(orjson.dumps(row) + b"\n")
+            before = now
--- a/hazelhollow/standins/commands.py
+++ b/hazelhollow/standins/commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import os
 import signal
 import sys
 from pathlib import Path
@@ -66,17 +67,26 @@
 @click.option("--listen", default="127.0.0.1:0", show_default=True, metavar="HOST:PORT", help="Port 0: any that is free.")
 @click.option("--work", default=0.05, show_default=True, type=click.FloatRange(0.0, 60.0), help="Seconds for each request.")
 @click.option("--cores", default=4, show_default=True, type=click.IntRange(1, 1000), help="Requests that it works on at once.")
-def node_(listen: str, work: float, cores: int) -> None:
-    """An issuer host that serves every request after some work, until SIGTERM or Ctrl-C. Prints `ready HOST:PORT`."""
+@click.option("--cold-for", default=0.0, show_default=True, type=click.FloatRange(0.0, 600.0), help="Seconds until it is at its whole speed.")
+@click.option("--cold-from", default=0.2, show_default=True, type=click.FloatRange(0.01, 1.0), help="Share of its speed at the start.")
+@click.option("--journal", metavar="FILE", help="Write a JSON line there for each request that it begins.")
+def node_(listen: str, work: float, cores: int, cold_for: float, cold_from: float, journal: str | None) -> None:
+    """An issuer host that serves every request after some work, until SIGTERM or Ctrl-C. Prints `ready HOST:PORT`.
+
+    SIGUSR1 makes it drain (it turns new requests away and finishes what it has), SIGUSR2 ends that.
+    """
     scheduler = sch.Scheduler(sch.Clock())
     try:
-        one = node.Node(scheduler, _loopback(listen), work, cores)
+        written = os.open(journal, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644) if journal else -1
+        one = node.Node(scheduler, _loopback(listen), work, cores, node.Cold(cold_from, cold_for), written)
     except ValueError as error:
         click.echo(f"hazelhollow: {error}", err=True)
         sys.exit(2)
     except OSError as error:
         _cannot_listen(listen, error)
     one.start()
+    signal.signal(signal.SIGUSR1, lambda *_: setattr(one, "draining", True))
+    signal.signal(signal.SIGUSR2, lambda *_: setattr(one, "draining", False))
     _until_signal(scheduler, [one.address])
     one.close()
     click.echo(f"served {one.served}")
--- /dev/null
+++ b/hazelhollow/standins/discovery.py
@@ -0,0 +1,144 @@
+"""A stand-in for discovery: the whole list, watches that wait, and an address of each host for each limiter."""
+
+from __future__ import annotations
+
+import re
+import socket
+from dataclasses import dataclass, field
+
+import orjson
+
+from hazelhollow.net import scheduler as sch
+from hazelhollow.net import stream
+from hazelhollow.net.ending import Ending
+
+MOST_HEAD = 8192
+LONGEST_HOLD = 60.0
+_CALL = re.compile(rb"GET /discovery/hosts(?:\?from=(\d+)&hold_ms=(\d+))? HTTP/1\.1\r\n")
+WORDS = {"up": "in_service", "draining": "terminating", "gone": "terminated"}
+
+
+@dataclass
+class Host:
+    """One line of the list. `addresses`: by limiter, where it is to reach the host."""
+
+    name: str
+    addresses: dict[str, str]
+    zone: str = "a"
+    state: str = "up"
+    started: float = 0.0
+    index: int = 0  # of the list when this line changed last
+
+
+@dataclass(eq=False)
+class Discovery:
+    """`down`: it takes connections and says nothing."""
+
+    scheduler: sch.Scheduler
+    hosts: dict[str, Host] = field(default_factory=dict)
+    index: int = 1
+    down: bool = False
+    calls: int = 0
+    _waiting: list[sch.Task] = field(default_factory=list)
+    _socks: list[socket.socket] = field(default_factory=list)
+
+    def listen(self, limiter: str, address: tuple[str, int]) -> tuple[str, int]:
+        """The agent of that limiter."""
+        sock = socket.create_server(address, backlog=64)
+        sock.setblocking(False)
+        self._socks.append(sock)
+        self.scheduler.spawn_lasting(lambda: self._accept(sock, limiter), "discovery")
+        bound: tuple[str, int] = sock.getsockname()[:2]
+        return bound
+
+    def change(self, host: Host) -> None:
+        """A new line, or a line that says something else now."""
+        self.index += 1
+        host.index = self.index
+        self.hosts[host.name] = host
+        self._wake()
+
+    def restart(self, index: int) -> None:
+        """It comes back with an older index, as one that lost its state does."""
+        self.index = index
+        for host in self.hosts.values():
+            host.index = min(host.index, index)
+        self._wake()
+
+    def set_down(self, down: bool) -> None:
+        self.down = down
+        self._wake()
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for task in waiting:
+            self.scheduler.wake(task)
+
+    def document(self, limiter: str, since: int | None) -> bytes:
+        """The whole list, or what changed after that index; all of it for an index that this life never had."""
+        whole = since is None or since > self.index
+        shown = [
+            host
+            for host in self.hosts.values()
+            if (whole and host.state != "gone") or (not whole and host.index > (since or 0))
+        ]
+        return orjson.dumps(
+            {
+                "index": self.index,
+                "snapshot": whole,
+                "endpoints": [
+                    {
+                        "name": host.name,
+                        "address": host.addresses[limiter],
+                        "zone": host.zone,
+                        "type": "m1",
+                        "group": 0,
+                        "status": WORDS[host.state],
+                        "weight": 1.0,
+                        "since_ms": int(host.started * 1000),
+                    }
+                    for host in shown
+                ],
+            }
+        )
+
+    def _accept(self, sock: socket.socket, limiter: str) -> None:
+        for near in stream.accepted(self.scheduler, sock):
+            self.scheduler.spawn(self._serve, stream.Stream(self.scheduler, near, 1 << 20), limiter, name="agent")
+
+    def _serve(self, driver: stream.Stream, limiter: str) -> None:
+        held = bytearray()
+        while driver.ending is None:
+            driver.wait()
+            data = driver.read(MOST_HEAD)
+            if isinstance(data, Ending):
+                driver.close(data)
+            elif data:
+                held += data
+                end = held.find(b"\r\n\r\n")
+                if end >= 0:
+                    self._answer(driver, limiter, bytes(held[: end + 2]))
+                    del held[: end + 4]
+                elif len(held) > MOST_HEAD:
+                    driver.close(Ending.MALFORMED)
+
+    def _answer(self, driver: stream.Stream, limiter: str, head: bytes) -> None:
+        call = _CALL.match(head)
+        if not call:
+            driver.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            return
+        self.calls += 1
+        since = int(call[1]) if call[1] else None
+        until = self.scheduler.clock() + min(int(call[2] or 0) / 1000.0, LONGEST_HOLD)
+        while self.down or (since == self.index and self.scheduler.clock() < until):
+            self._waiting.append(self.scheduler.current())
+            if self.scheduler.wait(until=None if self.down else until) == sch.TIMEOUT:
+                break
+        body = self.document(limiter, since)
+        driver.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    def close(self) -> None:
+        for sock in self._socks:
+            self.scheduler.forget(sock.fileno())
+            sock.close()
+        self._socks.clear()
--- a/hazelhollow/standins/node.py
+++ b/hazelhollow/standins/node.py
@@ -1,11 +1,17 @@
-"""A stand-in for an issuer host: it answers each request after some work, so many at a time, and counts what it served."""
+"""A stand-in for an issuer host: it answers each request after some work, so many at a time, and counts what it served.
+
+It can start cold, drain, say how loaded it is, and write down each request that it began.
+"""
 
 from __future__ import annotations
 
+import os
 import socket
 from collections import deque
 from dataclasses import dataclass, field
 
+import orjson
+
 from hazelhollow.net import resp, stream
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.ending import Ending
@@ -23,16 +29,38 @@
     answers: deque[list[bytes]] = field(default_factory=deque)  # each one a place that is filled when its work is done
 
 
-class Node:
-    """`work`: seconds for a request; `cores`: how many it works on at once."""
+@dataclass(frozen=True)
+class Cold:
+    """How a host starts: at a share `start` of its speed, which grows evenly to the whole over `lasts` seconds."""
+
+    start: float = 1.0
+    lasts: float = 0.0
+
+    def speed(self, age: float) -> float:
+        return self.start + (1.0 - self.start) * min(1.0, age / self.lasts) if self.lasts else 1.0
 
-    def __init__(self, scheduler: sch.Scheduler, listen: tuple[str, int], work: float, cores: int) -> None:
+
+class Node:
+    """`work`: seconds for a request; `cores`: how many it works on at once; `journal`: a descriptor that gets a JSON
+    line for each request as it begins."""
+
+    def __init__(
+        self,
+        scheduler: sch.Scheduler,
+        listen: tuple[str, int],
+        work: float,
+        cores: int,
+        cold: Cold | None = None,
+        journal: int = -1,
+    ) -> None:
         self.scheduler, self.work, self.cores = scheduler, work, cores
+        self.cold, self.journal, self.draining = cold or Cold(), journal, False
+        self.began = scheduler.clock()
         self._sock = socket.create_server(listen, backlog=256)
         self._sock.setblocking(False)
         self.address: tuple[str, int] = self._sock.getsockname()[:2]
         self.served = self.busy = 0
-        self._queue: deque[tuple[Line, list[bytes], bytes]] = deque()
+        self._queue: deque[tuple[Line, list[bytes], list[resp.Value]]] = deque()
 
     def start(self) -> None:
         self.scheduler.spawn_lasting(self._accept, "node")
@@ -62,11 +90,13 @@
         line.answers.append(place)
         name = words[0] if isinstance(words, list) and words and isinstance(words[0], bytes) else b""
         if name in (b"Q.ASK", b"Q.DO") and isinstance(words, list) and len(words) >= 4 and isinstance(words[2], bytes):
-            if len(self._queue) >= MOST_WAITING:
+            if self.draining or len(self._queue) >= MOST_WAITING:
                 self._answer(line, place, b"-BUSY\r\n")
             else:
-                self._queue.append((line, place, words[2]))
+                self._queue.append((line, place, words))
                 self._begin()
+        elif name == b"INFO":
+            self._answer(line, place, resp.bulk(self._report()))
         else:
             known = {b"PING": b"+PONG\r\n", b"CLIENT": b"+OK\r\n", b"SELECT": b"+OK\r\n"}
             self._answer(line, place, known.get(name, b"-ERR unknown\r\n"))
@@ -74,13 +104,25 @@
     def _begin(self) -> None:
         while self._queue and self.busy < self.cores:
             self.busy += 1
-            self.scheduler.at(self.scheduler.clock() + self.work, self._done, *self._queue.popleft())
+            line, place, words = self._queue.popleft()
+            now = self.scheduler.clock()
+            self._write_down(words, now)
+            takes = self.work / self.cold.speed(now - self.began)
+            self.scheduler.at(now + takes, self._done, line, place, words[2])
+
+    def _write_down(self, words: list[resp.Value], now: float) -> None:
+        if self.journal >= 0:
+            verb, customer, request, fields = (word.decode() for word in words[:4] if isinstance(word, bytes))
+            row = {"t": now, "verb": verb, "customer": customer, "id": request, "fields": fields}
+            os.write(self.journal, orjson.dumps(row) + b"\n")  # at once: a host that is killed has begun it all the same
+
+    def _report(self) -> bytes:
+        return b"inflight=%d,queue=%d" % (self.busy, len(self._queue))
 
     def _done(self, line: Line, place: list[bytes], request: bytes) -> None:
         self.busy -= 1
         self.served += 1
-        report = b"inflight=%d,queue=%d" % (self.busy, len(self._queue))
-        self._answer(line, place, b"*3\r\n" + resp.bulk(b"served " + request) + b"$-1\r\n" + resp.bulk(report))
+        self._answer(line, place, b"*3\r\n" + resp.bulk(b"served " + request) + b"$-1\r\n" + resp.bulk(self._report()))
         self._begin()
 
     @staticmethod
