--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -112,6 +112,9 @@
             self._allow(event)
         elif isinstance(event, api.Ban):
             self._ban(event)
+        elif isinstance(event, api.Fleet):
+            self.acting = event.acting
+            self.away = frozenset(range(self.settings.gateways)).difference(event.present).union(event.deaf)
         return self.actions
 
     # Budgets
@@ -156,6 +159,9 @@
         if kind is None or plan is None or event.units <= 0 or event.patience <= 0:
             self.actions.append(api.Refuse(event.id, why="unknown"))
             return
+        if not self.acting:  # it stood still, and may be dead to the others: what it knows is old
+            self.actions.append(api.Refuse(event.id, min(PERIOD, self.settings.max_retry_after), "away"))
+            return
         key = self._key(event.customer)
         spread = max(1, min(event.spread, self.settings.gateways))
         account = self._account(key, plan, event.first_gateway, spread)
@@ -249,7 +255,9 @@
             self._announce(key)
         self._leave()
         for peer in list(self.dirty):  # in a large fleet those that wait, longest first
-            if self.messages.fill(self.now) >= 1.0:
+            if peer in self.away:  # what is news when it is back is of this period or the last
+                self.dirty[peer] = {k: w for k, w in self.dirty[peer].items() if k[1] >= self.period - 1}
+            elif self.messages.fill(self.now) >= 1.0:
                 self._tell(peer)
         # In a sudden slowing the answers that would tell of it are late: what is out, not what hangs,
         # tells sooner. With all refused nothing tells: what is known of the wait grows old.
@@ -269,7 +277,7 @@
         for peer in peers:
             if peer != self.settings.me:
                 self.dirty.setdefault(peer, {})[key, period] = word
-                if not self.small:
+                if not self.small and peer not in self.away:
                     self._tell(peer)
 
     def _news(self, key: str, account: Account) -> None:
--- /dev/null
+++ b/hazelhollow/fleet/driver.py
@@ -0,0 +1,132 @@
+"""The thin driver of the view: its datagrams go with the gossip's, its beats on the limiter's clock."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import orjson
+
+from hazelhollow import interface as api
+from hazelhollow.fleet import view as views
+from hazelhollow.fleet.seal import Seal
+from hazelhollow.fleet.words import DIALECT, MOST_BYTES
+from hazelhollow.net.peers import Peers
+from hazelhollow.net.scheduler import Scheduler
+from hazelhollow.net.sparse import Sparse
+
+MARK = DIALECT[0]  # what a datagram of the view begins with; the gossip's begin with another letter
+TROUBLE_EVERY = 10.0  # seconds between lines about datagrams that were dropped
+
+log = logging.getLogger(__name__)
+
+
+class Driver:
+    """`told` gets what the decision module is to know, whenever it changes; `yielded` is called once if another process
+    has this one's number. `lines`: a file that gets the view as a JSON line whenever it changes."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        peers: Peers,
+        view: views.View,
+        seal: Seal,
+        told: Callable[[api.Fleet], None],
+        yielded: Callable[[], None],
+        lines: Path | None = None,
+    ) -> None:
+        self._scheduler, self._peers, self.view, self._seal = scheduler, peers, view, seal
+        self._told, self._yielded = told, yielded
+        self._lines = os.open(lines, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644) if lines else -1
+        self._last: api.Fleet | None = None
+        self._shown: dict[int, tuple[str, int]] = {}
+        self._gossip = peers.heard
+        self._ended = False
+        self._reported = 0
+        self._log = Sparse(log, scheduler.clock)
+
+    def start(self) -> None:
+        self._peers.heard = self.heard
+        self._beat()
+        self._report()
+
+    def heard(self, sender: int, text: str) -> None:
+        if not text.startswith(MARK):
+            self._gossip(sender, text)
+            return
+        plain = self._seal.open(text)
+        if plain is None:
+            self.view.counts["unsealed"] += 1
+            return
+        self._pass_on(self.view.heard(sender, plain, self._scheduler.clock()))
+
+    def end(self) -> None:
+        if not self._ended:
+            self._ended = True
+            self._pass_on(self.view.leave(self._scheduler.clock()))
+
+    def _beat(self) -> None:
+        if self._ended:
+            return
+        now = self._scheduler.clock()
+        self._scheduler.at(now + views.BEAT, self._beat)
+        self._pass_on(self.view.beat(now))
+        self._scheduler.at(now + self.view.wait(), self._due)
+
+    def _due(self) -> None:
+        if not self._ended:
+            self._pass_on(self.view.due(self._scheduler.clock()))
+
+    def _report(self) -> None:
+        """Datagrams that were dropped, said within a bound."""
+        if self._ended:
+            return
+        self._scheduler.at(self._scheduler.clock() + TROUBLE_EVERY, self._report)
+        counts = {k: self.view.counts[k] for k in ("garbled", "forged", "replayed", "unsealed", "earlier_life") if self.view.counts[k]}
+        if sum(counts.values()) > self._reported:
+            self._reported = sum(counts.values())
+            log.warning("view: datagrams dropped so far: %s", counts)
+
+    def _pass_on(self, sends: list[views.Send]) -> None:
+        for send in sends:
+            self._peers.tell(send.number, self._seal.close(send.text))
+        if self.view.changed:
+            self.view.changed = False
+            self._changed()
+
+    def _changed(self) -> None:
+        view = self.view
+        event = api.Fleet(view.acting, tuple(view.present()), tuple(view.unheard()), tuple(view.deaf()))
+        if event != self._last:
+            if self._last is not None and event.acting != self._last.acting:
+                log.warning("view: %s", "takes work again" if event.acting else "takes no new work until a peer has answered")
+            self._last = event
+            self._told(event)
+        shown = view.shown()
+        for number in sorted(shown):
+            state, life = shown[number]
+            if self._shown.get(number, ("", 0))[0] != state:
+                self._log.say(logging.INFO, "view: member %d is %s", number, state)
+        if shown != self._shown:
+            self._shown = shown
+            self._write(shown)
+        if view.yielded and not self._ended:
+            self._ended = True
+            log.error("view: another process has number %d and began later; this one leaves", view.me)
+            self._yielded()
+
+    def _write(self, shown: dict[int, tuple[str, int]]) -> None:
+        if self._lines >= 0:
+            members = {str(number): entry for number, entry in shown.items()}
+            row = {"t": self._scheduler.clock(), "me": self.view.me, "acting": self.view.acting, "members": members}
+            try:
+                os.write(self._lines, orjson.dumps(row) + b"\n")
+            except OSError as error:
+                self._log.warning("view: its lines cannot be written: %s", error)
+
+
+def budget(seal: Seal) -> int:
+    """Bytes that a text of the view may have, so that it fits into a datagram with its hash."""
+    return MOST_BYTES - seal.length
--- /dev/null
+++ b/hazelhollow/fleet/records.py
@@ -0,0 +1,79 @@
+"""What is known of each member, and the one rule by which two records of one member become one. No I/O, no clock."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from hashlib import blake2b
+from typing import NamedTuple
+
+JOINING, ALIVE, SHUT_OUT, SUSPECT, DEAD, LEFT = range(6)  # of one turn the later one holds
+NAMES = ("joining", "alive", "shut out", "suspect", "dead", "left")
+PRESENT = (JOINING, ALIVE, SHUT_OUT, SUSPECT)  # those that may answer
+BUCKETS = 16
+SUM_RANGE = 36**5  # of a digest as it is sent
+
+
+class Record(NamedTuple):
+    """`life`: when it began, and a random part; `turn` within the life, which the member alone raises; `unheard`: members
+    that it cannot hear though others can; `versions`: of what it acts on. The order of the fields is the rule's."""
+
+    number: int
+    life: int
+    turn: int
+    state: int
+    unheard: tuple[int, ...] = ()
+    versions: str = ""
+
+
+def merge(one: Record, other: Record) -> Record:
+    """Of two records of a member the greater by life, turn and state: in any order, however often, the same."""
+    return max(one, other)
+
+
+def fingerprint(record: Record) -> int:
+    text = f"{record.number}.{record.life}.{record.turn}.{record.state}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+class Table:
+    """The records, with sums by which two tables show that they are the same, or in which buckets they are not."""
+
+    def __init__(self) -> None:
+        self._records: dict[int, Record] = {}
+        self._sums = [0] * BUCKETS
+
+    def __iter__(self) -> Iterator[Record]:
+        return iter(self._records.values())
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, number: int) -> Record | None:
+        return self._records.get(number)
+
+    def put(self, record: Record) -> bool:
+        """Whether it changed anything."""
+        old = self._records.get(record.number)
+        new = record if old is None else merge(old, record)
+        if new is old or new == old:
+            return False
+        bucket = record.number % BUCKETS
+        if old is not None:
+            self._sums[bucket] ^= fingerprint(old)
+        self._sums[bucket] ^= fingerprint(new)
+        self._records[record.number] = new
+        return True
+
+    def digest(self) -> int:
+        return sum(self._sums) % SUM_RANGE
+
+    def sums(self) -> list[int]:
+        """A number below 36**3 a bucket."""
+        return [one % 36**3 for one in self._sums]
+
+    def of_buckets(self, buckets: Iterable[int]) -> list[Record]:
+        wanted = set(buckets)
+        return [record for record in self._records.values() if record.number % BUCKETS in wanted]
+
+    def present(self) -> list[int]:
+        return [record.number for record in self._records.values() if record.state in PRESENT]
--- /dev/null
+++ b/hazelhollow/fleet/words.py
@@ -0,0 +1,96 @@
+"""The view's datagrams: values to at most 256 bytes of text and back. Translation only; knows no rule and no socket.
+
+    v1p 3.9k2jd01xa.2.1.1f.abcde 7 5.9k2jd00aa.0.2 ...
+
+Dialect and kind; the sender's number, life, turn, state, the message's serial and the digest of the sender's table; what
+the kind needs; records. Numbers are base 36. A message that any part of is not so is none.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from hazelhollow.fleet.records import BUCKETS, LEFT, SUM_RANGE, Record
+from hazelhollow.gossip import base36
+
+DIALECT = "v1"
+MOST_BYTES = 256
+MOST_UNHEARD = 8  # members named in one record; the rest are left out
+MOST_VERSIONS = 24  # bytes
+PING, ANSWER = "p", "a"
+ASK, INDIRECT, RELAYED = "q", "i", "j"  # of a helper; by it to the target; its answer, by way of the helper
+SUMS, PIECE = "s", "t"  # of a table's buckets; records that the other's table lacks
+_PARTS = {PING: 1, ANSWER: 1, ASK: 2, INDIRECT: 2, RELAYED: 3, SUMS: BUCKETS, PIECE: 0}  # numbers that a kind needs
+_MOST_LIFE = 36**12
+_MOST = 36**7
+
+
+class Message(NamedTuple):
+    """`parts`: PING, ANSWER: the probe's number. ASK: that and the target. INDIRECT: that and the asker. RELAYED: that,
+    the asker and the target. SUMS: one a bucket."""
+
+    kind: str
+    sender: Record
+    serial: int
+    digest: int
+    parts: tuple[int, ...] = ()
+    records: tuple[Record, ...] = ()
+
+
+def record_word(record: Record) -> str:
+    """One record, with the space before it."""
+    text = f" {base36(record.number)}.{base36(record.life)}.{base36(record.turn)}.{record.state}"
+    if record.unheard or record.versions:
+        text += "." + "-".join(base36(n) for n in record.unheard[:MOST_UNHEARD])
+    return text + (f".{record.versions}" if record.versions else "")
+
+
+def write(message: Message, records: Sequence[Record], most: int = MOST_BYTES) -> tuple[str, int]:
+    """The text with as many of the records, in their order, as fit into so many bytes, and their number."""
+    own = record_word(message.sender)[1:]
+    line = f"{DIALECT}{message.kind} {own}/{base36(message.serial)}/{base36(message.digest)} "
+    line += "-".join(base36(part) for part in message.parts)
+    for number, record in enumerate(records):
+        word = record_word(record)
+        if len(line) + len(word) > most:
+            return line, number
+        line += word
+    return line, len(records)
+
+
+def read(text: str, members: int) -> Message | None:
+    """The message; nothing where any part of it cannot be: too long, of another dialect, garbled, out of range."""
+    try:
+        head, own, parts, *records = text.split(" ")
+        sender, serial, digest = own.split("/")
+        kind = head[len(DIALECT) :]
+        if len(text) > MOST_BYTES or not head.startswith(DIALECT) or kind not in _PARTS:
+            return None
+        numbers = tuple(_number(part, _MOST) for part in parts.split("-")) if parts else ()
+        if len(numbers) != _PARTS[kind]:
+            return None
+        if kind in (ASK, INDIRECT, RELAYED) and any(n >= members for n in numbers[1:]):
+            return None
+        message = Message(kind, _record(sender, members), _number(serial, _MOST), _number(digest, SUM_RANGE), numbers)
+        return message._replace(records=tuple([_record(word, members) for word in records]))
+    except (ValueError, KeyError):
+        return None
+
+
+def _number(text: str, most: int) -> int:
+    if not (text.isascii() and text.isalnum() and text == text.lower()):  # int() would read signs, spaces, underscores
+        raise ValueError(text)
+    number = int(text, 36)
+    if number >= most:
+        raise ValueError(text)
+    return number
+
+
+def _record(word: str, members: int) -> Record:
+    number, life, turn, state, *rest = word.split(".")
+    unheard = tuple(_number(n, members) for n in rest[0].split("-")) if rest and rest[0] else ()
+    versions = rest[1] if len(rest) > 1 else ""
+    if len(rest) > 2 or len(unheard) > MOST_UNHEARD or len(versions) > MOST_VERSIONS or (versions and not (versions.isascii() and versions.isalnum())):
+        raise ValueError(word)
+    return Record(_number(number, members), _number(life, _MOST_LIFE), _number(turn, _MOST), _number(state, LEFT + 1), unheard, versions)
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -194,8 +194,23 @@
     down: bool
 
 
+@dataclass(frozen=True)
+class Fleet:
+    """Who is there, by the view that the gateways keep. Without this event all are taken to be.
+
+    `acting`: whether this one may take new work: not before it knows what the others hold of it. `present`: numbers of
+    those that are up, this one among them; `unheard`: those of them that this one cannot hear; `deaf`: those that
+    cannot hear this one.
+    """
+
+    acting: bool
+    present: tuple[int, ...]
+    unheard: tuple[int, ...] = ()
+    deaf: tuple[int, ...] = ()
+
+
 Event = Union[
-    Servers, Request, Started, Outcome, ClientGone, Timer, ProbeResult, PeerMessage, Counted, Allowance, Ban
+    Servers, Request, Started, Outcome, ClientGone, Timer, ProbeResult, PeerMessage, Counted, Allowance, Ban, Fleet
 ]
 
 
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -115,6 +115,9 @@
     def ban(self, server: str, down: bool) -> None:
         self._handle(api.Ban(server, down))
 
+    def fleet(self, event: api.Fleet) -> None:
+        self._handle(event)
+
     def heard(self, sender: int, text: str) -> None:
         self._handle(api.PeerMessage(sender, text))
 
--- a/hazelhollow/net/peers.py
+++ b/hazelhollow/net/peers.py
@@ -24,7 +24,7 @@
         peers: Sequence[tuple[str, int]],
         heard: Callable[[int, str], None],
     ) -> None:
-        self._scheduler, self._stats, self._heard = scheduler, stats, heard
+        self._scheduler, self._stats, self.heard = scheduler, stats, heard
         self._peers = list(peers)
         self._numbers = {address: number for number, address in enumerate(peers)}
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -66,4 +66,4 @@
             self._stats.junk += 1
             return
         self._stats.heard += 1
-        self._heard(number, text)
+        self.heard(number, text)
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -39,6 +39,8 @@
     def decisions(self, inner: Decisions, settings: api.Settings, seed: int, now: float) -> Decisions: ...
     def begin(self, service: Service) -> None: ...
     def reload(self) -> None: ...
+    def ready(self) -> bool: ...
+    def end(self) -> None: ...
 
 
 class Service:
@@ -185,6 +187,8 @@
         while self.acquirer.sessions:
             self.acquirer.finish()
             self.scheduler.sleep(STEP)
+        if self.attached:
+            self.attached.end()
         log.info("left after %.2f s", self.scheduler.clock() - began)
         self.issuers.close()
         self.scheduler.stop()
@@ -203,7 +207,8 @@
         self._service = service
 
     def ready(self) -> bool:
-        return self._service.acquirer.is_ready() and not self._service.leaving
+        service = self._service
+        return service.acquirer.is_ready() and not service.leaving and (not service.attached or service.attached.ready())
 
     def figures(self) -> dict[str, Any]:
         """As of now, from the start of this process."""
--- a/hazelhollow/net/sparse.py
+++ b/hazelhollow/net/sparse.py
@@ -16,6 +16,9 @@
         self._allowed, self._at, self.untold = per_second, clock(), 0
 
     def warning(self, text: str, *args: object) -> bool:
+        return self.say(logging.WARNING, text, *args)
+
+    def say(self, level: int, text: str, *args: object) -> bool:
         now = self._clock()
         self._allowed = min(self._rate, self._allowed + (now - self._at) * self._rate)
         self._at = now
@@ -24,5 +27,5 @@
             return False
         self._allowed -= 1.0
         untold, self.untold = self.untold, 0
-        self._log.warning(text + (" (%d more not logged)" if untold else ""), *args, *((untold,) if untold else ()))
+        self._log.log(level, text + (" (%d more not logged)" if untold else ""), *args, *((untold,) if untold else ()))
         return True
--- a/hazelhollow/operator/attach.py
+++ b/hazelhollow/operator/attach.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import structlog
 
 from hazelhollow import interface as api
+from hazelhollow.fleet.driver import Driver as FleetDriver
+from hazelhollow.fleet.driver import budget
+from hazelhollow.fleet.seal import Seal, read_keys
+from hazelhollow.fleet.view import View
 from hazelhollow.gossip import base36
 from hazelhollow.net.limiter import Decisions
 from hazelhollow.net.service import Service
 from hazelhollow.operator import load, logs, records
 from hazelhollow.operator.commands import fail
-from hazelhollow.operator.syntax import CueError
+from hazelhollow.operator.syntax import CueError, Place, Trouble
 from hazelhollow.store.books import Books
 from hazelhollow.store.driver import Driver
 from hazelhollow.store.exchange import Exchange
@@ -26,15 +32,17 @@
         self.file, self.operator = file, operator
         self.books: Books | None = None
         self.driver: Driver | None = None
+        self.fleet: FleetDriver | None = None
+        self.seal = Seal(_keys(operator.fleet))
         self._seed = 0
 
     def decisions(self, inner: Decisions, settings: api.Settings, seed: int, now: float) -> Decisions:
         """The decision module, with what stands before it."""
+        self._seed = seed
         terms = self.operator.store
         if terms is None:
             return inner
         self.books = Books(settings, terms, base36(int(now * 1000)), now)
-        self._seed = seed
         return Keeping(inner, self.books, self._pump)
 
     def _pump(self) -> None:
@@ -49,6 +57,28 @@
             self.driver = Driver(service.scheduler, exchange)
             service.stats.store = {"books": self.books.counts, "link": exchange.counts}
             self.driver.start()
+        if self.operator.fleet:
+            self._begin_view(service, self.operator.fleet)
+
+    def _begin_view(self, service: Service, terms: records.Fleet) -> None:
+        settings, peers = service.settings, service.limiter.peers
+        if peers is None or not settings.peers or settings.gateways < 2:
+            log.warning("no view of the fleet: the configuration allows no datagrams between limiters, or there is one alone")
+            return
+        view = View(settings.me, settings.gateways, service.scheduler.clock(), self._seed, budget(self.seal))
+        lines = Path(terms.view_file) if terms.view_file else None
+        self.fleet = FleetDriver(service.scheduler, peers, view, self.seal, service.limiter.fleet, service.leave, lines)
+        service.stats.view = view.counts
+        self.fleet.start()
+
+    def ready(self) -> bool:
+        """Whether it may be given work: as a member that the others know."""
+        return self.fleet is None or self.fleet.view.acting
+
+    def end(self) -> None:
+        """The limiter has answered all and ends."""
+        if self.fleet:
+            self.fleet.end()
 
     def reload(self) -> None:
         """SIGHUP: takes what can be taken live and says what needs a restart. A bad file changes nothing."""
@@ -67,6 +97,10 @@
         if any(path.startswith("log.") for path in live):
             logs.configure(new.log)
         self.operator = load.merged(self.operator, new)
+        try:
+            self.seal.keys = _keys(self.operator.fleet)
+        except (OSError, ValueError) as error:
+            log.error("the keys stay as they were", trouble=str(error))
         if self.driver and self.operator.store:
             self.driver.change(self.operator.store)  # the password and key files may have changed, if nothing else
         log.info("operator file read again", taken=live)
@@ -79,4 +113,13 @@
     except CueError as error:
         fail(error)
     logs.configure(operator.log)
-    return Attached(file, operator)
+    try:
+        return Attached(file, operator)
+    except (OSError, ValueError) as error:
+        place = operator.fleet.keys_file if operator.fleet else file
+        fail(CueError([Trouble(Place(place, 1, 1), "fleet.keys_file", str(error))]))
+
+
+def _keys(terms: records.Fleet | None) -> list[bytes]:
+    """Raises OSError or ValueError for a file that cannot be used."""
+    return read_keys(Path(terms.keys_file).read_bytes()) if terms and terms.keys_file else []
--- a/hazelhollow/operator/load.py
+++ b/hazelhollow/operator/load.py
@@ -104,8 +104,9 @@
     """The paths that differ: those that a running limiter takes, and those that need a restart."""
     before, after = _flat(msgspec.to_builtins(old)), _flat(msgspec.to_builtins(new))
     differ = sorted(path for path in {*before, *after} if before.get(path) != after.get(path))
-    if (old.store is None) != (new.store is None):
-        return [p for p in differ if p.startswith("log.")], ["store"]
+    come_or_gone = [name for name in ("store", "fleet") if (getattr(old, name) is None) != (getattr(new, name) is None)]
+    if come_or_gone:
+        return [p for p in differ if p.startswith("log.")], come_or_gone
 
     def live(path: str) -> bool:
         return any(path == name or path.startswith(name + ".") for name in LIVE)
--- a/hazelhollow/operator/records.py
+++ b/hazelhollow/operator/records.py
@@ -58,6 +58,14 @@
     tls: Tls | None = None
 
 
+class Fleet(Record, frozen=True):
+    """Paths; empty where there is none."""
+
+    keys_file: str = ""
+    view_file: str = ""
+
+
 class Operator(Record, frozen=True):
     log: Log
     store: Store | None = None
+    fleet: Fleet | None = None
--- a/hazelhollow/operator/schema.cue
+++ b/hazelhollow/operator/schema.cue
@@ -5,6 +5,13 @@
 #Operator: {
 	log:    #Log
 	store?: #Store
+	fleet?: #Fleet
+}
+
+// The view of the fleet that the limiters keep themselves; its members are the configuration's `peers`.
+#Fleet: {
+	keys_file?: string // keys, one a line, of the hash that the view's datagrams end with; the first one seals
+	view_file?: string // gets a JSON line whenever the view changes
 }
 
 #Log: {
--- a/hazelhollow/rig/checker.py
+++ b/hazelhollow/rig/checker.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import json
+import math
 import statistics
 from collections import Counter, defaultdict
 from pathlib import Path
@@ -161,7 +162,8 @@
         if row["id"] in first:
             used[key].append((first[row["id"]], row["units"]))
     span = faults.end - faults.begin
-    over = quota = served = due = worst = 0.0
+    quota = served = due = worst = 0.0
+    over = -math.inf
     passed = 0
     for (name, customer), _ in asked.items():
         rate, burst = RATES.get(name) or (plan.get("per_second", 20.0), plan.get("burst", 40.0))
@@ -169,7 +171,7 @@
         total = sum(amount for _, amount in taken)
         allowed = rate * span
         quota += allowed
-        over += total - allowed - burst
+        over = max(over, total - allowed - burst)  # the customer who got most beyond its own
         worst = max(worst, over_bucket(taken, rate, burst))
         served += min(total, allowed + burst)
         due += min(asked[name, customer], allowed + burst)
@@ -178,7 +180,7 @@
             passed += over_bucket(taken, ceiling, hard + CEILING_SLACK * ceiling) > 0
     return {
         "ceilings_passed": passed,
-        "over_quota_units": round(over, 1),
+        "over_quota_units": round(over, 1) if asked else None,
         "over_quota_worst": round(worst, 1),
         "quota_units": round(quota, 1),
         "service_share": round(served / due, 4) if due else None,
@@ -198,7 +200,8 @@
     right = [json.dumps(view, sort_keys=True) for view in final.values() if _states(view) == true]
     common = Counter(right).most_common(1)[0][0] if right else ""
     differ = [n for n in left if json.dumps(final[n], sort_keys=True) != common]
-    settled = [_settled(said[name], final[name], faults.last) for name in left if name not in differ]
+    calm = not faults.last
+    settled = [] if calm else [_settled(said[name], final[name], faults.last) for name in left if name not in differ]
     return {
         "settled_s_p50": quantile(settled, 0.5),
         "settled_s_p99": quantile(settled, 0.99),
--- a/hazelhollow/rig/commands.py
+++ b/hazelhollow/rig/commands.py
@@ -16,7 +16,7 @@
 from hazelhollow.rig import control, plan, shrink, world
 from hazelhollow.rig.drill import Drill
 
-NEVER = ("lost", "doubled", "untrue_answers", "repeats_not_allowed", "ceilings_passed", "views_differ", "false_deaths")
+NEVER = ("crashes", "lost", "doubled", "untrue_answers", "repeats_not_allowed", "ceilings_passed", "views_differ", "false_deaths")
 
 
 def default_state() -> Path:
@@ -27,6 +27,8 @@
     "--state", type=click.Path(path_type=Path), default=None, metavar="DIR", help="Where the fleet's files are; else in the temporary folder."
 )
 
+plain_option = click.option("--plain", is_flag=True, help="Without an operator file: the program as the platform runs it.")
+
 
 @click.group("fleet")
 def fleet() -> None:
@@ -47,8 +49,9 @@
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(1, 64))
 @click.option("--hosts", default=2, show_default=True, type=click.IntRange(1, 32))
 @click.option("--operator", type=click.Path(exists=True, path_type=Path), help="An operator file that all limiters get.")
+@plain_option
 @state_option
-def up(instances: int, hosts: int, operator: Path | None, state: Path | None) -> None:
+def up(instances: int, hosts: int, operator: Path | None, plain: bool, state: Path | None) -> None:
     """Start limiters n0, n1, ..., hosts h0, h1, ... and discovery d, and stay until Ctrl-C or `down`."""
     folder = state or default_state()
     try:
@@ -56,8 +59,9 @@
     except FileExistsError:
         _fail(f"{folder} is there already: a fleet is up, or the folder is another's")
     text = operator.read_text() if operator else ""
+    files = None if plain else (lambda *_: text) if operator else view_file
     try:
-        one = control.Supervisor(plan.Plan(name="up", instances=instances, hosts=hosts), folder, (lambda *_: text) if operator else None)
+        one = control.Supervisor(plan.Plan(name="up", instances=instances, hosts=hosts), folder, files)
         one.run(_show_ready)
     except world.RigError as error:
         shutil.rmtree(folder, ignore_errors=True)
@@ -159,9 +163,17 @@
 @seconds_option
 @json_option
 @keep_option
+@plain_option
 @click.option("--show", is_flag=True, help="Print the plan and do nothing.")
 def drill(
-    name: str | None, seed: int | None, instances: int | None, seconds: float | None, file: str | None, keep: Path | None, show: bool
+    name: str | None,
+    seed: int | None,
+    instances: int | None,
+    seconds: float | None,
+    file: str | None,
+    keep: Path | None,
+    plain: bool,
+    show: bool,
 ) -> None:
     """Play a plan of faults on a fleet under load and check what came of it from outside.
 
@@ -177,7 +189,7 @@
     if show:
         click.echo(plan.write(one).decode())
         return
-    _finish(_play(one, keep), file)
+    _finish(_play(one, keep, plain), file)
 
 
 def _plan(name: str | None, seed: int | None, instances: int | None, seconds: float | None) -> plan.Plan:
@@ -194,23 +206,25 @@
 @click.argument("source", metavar="FILE", type=click.Path(exists=True, path_type=Path))
 @json_option
 @keep_option
-def replay(source: Path, file: str | None, keep: Path | None) -> None:
+@plain_option
+def replay(source: Path, file: str | None, keep: Path | None, plain: bool) -> None:
     """Play the plan of an earlier drill again, from the file that `--json` wrote. Exit status as for `drill`."""
-    _finish(_play(_earlier(source), keep), file)
+    _finish(_play(_earlier(source), keep, plain), file)
 
 
 @fleet.command("shrink")
 @click.argument("source", metavar="FILE", type=click.Path(exists=True, path_type=Path))
 @click.option("--trials", default=20, show_default=True, type=click.IntRange(1, 1000), help="Drills at most.")
 @json_option
-def shrink_(source: Path, trials: int, file: str | None) -> None:
+@plain_option
+def shrink_(source: Path, trials: int, file: str | None, plain: bool) -> None:
     """Find a smaller plan that breaks the same promise. Exit status 0: found. 1: the plan did not fail again."""
     one = _earlier(source)
-    broken = _broken(_play(one, None)["figures"])
+    broken = _broken(_play(one, None, plain)["figures"])
     if not broken:
         click.echo("the plan breaks nothing this time", err=True)
         sys.exit(1)
-    smaller, made = shrink.shrink(one, lambda p: bool(broken & _broken(_play(p, None)["figures"])), trials)
+    smaller, made = shrink.shrink(one, lambda p: bool(broken & _broken(_play(p, None, plain)["figures"])), trials)
     click.echo(f"{len(one.events)} events became {len(smaller.events)} in {made} drills; it still breaks {', '.join(sorted(broken))}", err=True)
     text = plan.write(smaller)
     if file and file != "-":
@@ -231,13 +245,18 @@
     return {key for key in NEVER if figures.get(key)}
 
 
-def _play(one: plan.Plan, keep: Path | None) -> dict[str, Any]:
+def view_file(name: str, home: Path) -> str:
+    """An operator file that switches on the view, whose lines go where the checker and `status` look for them."""
+    return f'package operator\nlog: format: "console"\nfleet: view_file: "{home.parent / name}.view.jsonl"\n'
+
+
+def _play(one: plan.Plan, keep: Path | None, plain: bool) -> dict[str, Any]:
     try:
         plan.check(one)
         if keep:
             keep.mkdir(parents=True)
         folder = keep or Path(tempfile.mkdtemp(prefix="hazelhollow-drill-"))
-        figures = Drill(one, folder, _progress(), keep=keep is not None).run()
+        figures = Drill(one, folder, _progress(), None if plain else view_file, keep is not None).run()
     except (plan.PlanError, world.RigError, OSError) as error:
         _fail(str(error))
     return {"figures": figures, "plan": orjson.loads(plan.write(one))}
--- a/hazelhollow/rig/drill.py
+++ b/hazelhollow/rig/drill.py
@@ -7,13 +7,14 @@
 from pathlib import Path
 from typing import IO, Any
 
+import msgspec
 import orjson
 
 from hazelhollow.net import scheduler as sch
 from hazelhollow.rig import checker
 from hazelhollow.rig.clients import Clients, Door
 from hazelhollow.rig.plan import LINKS, Event, Plan, last_end, pairs, spread_out, write
-from hazelhollow.rig.world import World
+from hazelhollow.rig.world import RigError, World
 from hazelhollow.standins.relay import Fault
 
 LISTED_AFTER = 1.5  # seconds until discovery knows that a host has died or is back
@@ -46,6 +47,8 @@
         self.clients = Clients(self.scheduler, plan.seed, self._requests, plan.instances)
         self.error: BaseException | None = None
         self.begin = self.cpu_at_begin = 0.0
+        self._in_hand, self._gone = set[str](), set[str]()  # processes that a fault is at work on; that it killed for good
+        self.crashes: list[str] = []  # processes that ended by themselves, or badly
 
     def run(self) -> dict[str, Any]:
         """The checker's figures. Raises RigError if the fleet did not come up."""
@@ -57,7 +60,7 @@
                 file.close()
             if self.error:
                 raise self.error
-            return checker.check(self.folder) | self._cost()
+            return checker.check(self.folder) | {"crashes": len(self.crashes), "crashed": self.crashes} | self._cost()
         finally:
             self.world.close()
 
@@ -87,6 +90,7 @@
         while (now := self.scheduler.clock()) < end:
             self.progress(f"{plan.name}: {now - self.begin:5.1f} of {end - self.begin:.0f} s, {self.clients.sent} requests")
             self.scheduler.sleep(min(1.0, end - now))
+            self._look_for_crashes()
         while self.clients.open and self.scheduler.clock() < end + END_WITHIN:
             self.scheduler.sleep(GIVE_UP)
         self.world.relay.heal()
@@ -107,9 +111,24 @@
         self._faults.write(orjson.dumps(line) + b"\n")
         self._faults.flush()
 
+    def _look_for_crashes(self) -> None:
+        crew = self.world.crew
+        for name in [*self.world.names, *self.world.hosts]:
+            if name not in self._in_hand and name not in self._gone and crew.reap(name):
+                self._gone.add(name)
+                self.crashes.append(f"{name} ended by itself with status {crew.members[name].status}")
+
     # Faults
 
     def _happen(self, event: Event) -> None:
+        """A fault that cannot be made ends the drill: its figures would be of another plan."""
+        try:
+            self._make(event)
+        except Exception as error:
+            self.error = self.error or error
+            self.scheduler.stop()
+
+    def _make(self, event: Event) -> None:
         self.progress(f"{self.plan.name}: {event.what} {' '.join(event.whom)} for {event.lasts:g} s")
         if event.what in LINKS:
             self._links(event)
@@ -120,8 +139,9 @@
             self.world.discovery.set_down(False)
             self._note(what=event.what, whom=["d"], on=False)
         else:
-            for name in event.whom:
-                self.scheduler.spawn(self._process, event, name, name="fault")
+            for name in event.whom[1:]:
+                self.scheduler.spawn(self._happen, msgspec.structs.replace(event, whom=(name,)), name="fault")
+            self._process(event, event.whom[0])
 
     def _links(self, event: Event) -> None:
         fault = {
@@ -143,9 +163,17 @@
 
     def _process(self, event: Event, name: str) -> None:
         """One that another fault has in hand already is left to it."""
-        crew, one = self.world.crew, self.world.crew.members[name]
-        if not one.running or one.paused:
+        one = self.world.crew.members[name]
+        if name in self._in_hand or not one.running:
             return
+        self._in_hand.add(name)
+        try:
+            self._hit(event, name)
+        finally:
+            self._in_hand.discard(name)
+
+    def _hit(self, event: Event, name: str) -> None:
+        crew, one = self.world.crew, self.world.crew.members[name]
         self._note(what=event.what, whom=[name], on=True)
         life = one.starts
         crew.signal(name, SIGNALS[event.what])
@@ -162,12 +190,17 @@
             self.scheduler.sleep(GIVE_UP)
         if name in self.world.hosts:
             self.scheduler.at(self.scheduler.clock() + LISTED_AFTER, self._list_host, name)
+        if event.what == "restart" and one.status:
+            self.crashes.append(f"{name} ended with status {one.status} when told to end")
         if event.what == "kill" and not event.lasts:
+            self._gone.add(name)
             return
         self.scheduler.sleep(event.lasts)
         crew.start(name)
-        if name in self.world.names:
-            self.world.await_ready([name])
+        while name in self.world.names and not self.world.call(name, "check").startswith(b"done"):
+            if crew.reap(name):
+                raise RigError(f"{name} ended with status {one.status} while it started")
+            self.scheduler.sleep(GIVE_UP)
         self._note(what=event.what, whom=[name], on=False)
 
     def _list_host(self, name: str) -> None:
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -278,6 +278,7 @@
         self.near: list[Server] = []  # those that this gateway keeps to, and until when that holds
         self.near_until = 0.0
         self.held: dict[str, Held] = {}
+        self.acting, self.away = True, frozenset[int]()  # by the fleet's view: whether to take new work; whom not to tell
         self.banned: set[str] = set()  # servers left out by hand
         self.back: dict[str, float] = {}  # servers put back by hand, and when: they start cold then
         self.dirty: dict[int, dict[tuple[str, int], str]] = {}  # by whom to tell: customer, period, word
--- /dev/null
+++ b/tests/test_fleet_view.py
@@ -0,0 +1,394 @@
+"""The view of the fleet: its merge, its words, its seal; and what members come to hold when links and processes break."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hazelhollow import interface as api
+from hazelhollow.bench import fleet as bench
+from hazelhollow.bench.fleet import Sim
+from hazelhollow.decide import Gateway
+from hazelhollow.fleet import seal, view, words
+from hazelhollow.fleet.records import ALIVE, DEAD, LEFT, SUSPECT, Record, Table, merge
+from tests.scenario import SETTINGS
+from tests.test_gateway import ask, entry, only, servers
+
+MEMBERS = 40
+records = st.builds(
+    Record,
+    st.integers(0, MEMBERS - 1),
+    st.integers(0, 36**9),
+    st.integers(0, 50),
+    st.integers(0, LEFT),
+    st.lists(st.integers(0, MEMBERS - 1), max_size=words.MOST_UNHEARD).map(tuple),
+    st.text("abc0189", max_size=words.MOST_VERSIONS),
+)
+of_one = records.map(lambda record: record._replace(number=3))
+
+
+# Records
+
+
+@given(of_one, of_one, of_one)
+def test_merging_is_associative_commutative_and_idempotent(a: Record, b: Record, c: Record) -> None:
+    assert merge(merge(a, b), c) == merge(a, merge(b, c))
+    assert merge(a, b) == merge(b, a) and merge(a, a) == a
+
+
+@given(st.lists(records, max_size=30), st.randoms(use_true_random=False))
+def test_tables_that_heard_the_same_in_any_order_show_the_same_sums(told: list[Record], chance: random.Random) -> None:
+    one, other, mixed = Table(), Table(), told + told
+    chance.shuffle(mixed)
+    for table, lines in ((one, told), (other, mixed)):
+        for record in lines:
+            table.put(record)
+    assert sorted(one) == sorted(other)
+    assert (one.digest(), one.sums()) == (other.digest(), other.sums())
+
+
+@given(st.lists(records, min_size=1, max_size=30), records)
+def test_a_table_that_knows_more_shows_other_sums_in_that_bucket_alone(told: list[Record], more: Record) -> None:
+    one, other = Table(), Table()
+    for record in told:
+        one.put(record)
+        other.put(record)
+    before = one.get(more.number)
+    other.put(more)
+    known = (before and before[:4]) == (other.get(more.number) or more)[:4]
+    differ = [n for n, (a, b) in enumerate(zip(one.sums(), other.sums(), strict=True)) if a != b]
+    assert differ == ([] if known else [more.number % 16])
+
+
+# Words
+
+
+kinds = st.sampled_from(sorted(words._PARTS)).flatmap(
+    lambda kind: st.tuples(st.just(kind), st.lists(st.integers(0, MEMBERS - 1), min_size=words._PARTS[kind], max_size=words._PARTS[kind]))
+)
+
+
+@given(kinds, records, st.integers(0, 36**5 - 1), st.integers(0, 36**5 - 1), st.lists(records, max_size=20))
+def test_what_is_written_reads_as_it_was_and_fits(
+    kind: tuple[str, list[int]], sender: Record, serial: int, digest: int, told: list[Record]
+) -> None:
+    message = words.Message(kind[0], sender, serial, digest, tuple(kind[1]))
+    text, taken = words.write(message, told)
+    assert len(text) <= words.MOST_BYTES
+    assert words.read(text, MEMBERS) == message._replace(records=tuple(told[:taken]))
+
+
+SOUND = words.write(words.Message(words.ASK, Record(3, 9**9, 2, ALIVE), 7, 99, (5, 4)), [Record(4, 8**9, 1, DEAD)])[0]
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "v", "h123", "v2" + SOUND[2:], SOUND + " ", SOUND + "x" * 300, SOUND.replace("/", " "), SOUND.upper(),
+     "v1x 3.1.1.1/1/1 ", "v1p 3.1.1.9/1/1 1", "v1p zz.1.1.1/1/1 1", "v1q 3.1.1.1/1/1 1", "v1q 3.1.1.1/1/1 1-zz",
+     "v1p 3.1.1.1/1/1 -1", "v1p 3.1.1.1/1/1 1 4.1.1", "v1p 3.1.1.1/1/1 1 4.1.1.1.2.a.b", "v1p 3.1.1.1/1/1 1 4.1.1.1..\u0661"],
+)  # fmt: skip
+def test_what_cannot_be_is_no_message(text: str) -> None:
+    assert words.read(SOUND, MEMBERS) is not None and words.read(text, MEMBERS) is None
+
+
+@given(st.text(max_size=80) | st.integers(0, len(SOUND)).map(lambda n: SOUND[:n]))
+def test_no_text_makes_reading_fail(text: str) -> None:
+    words.read(text, MEMBERS)
+
+
+OLD, NEW, OTHER = b"o" * 16, b"n" * 16, b"x" * 16
+
+
+def test_keys_can_be_changed_while_the_fleet_runs() -> None:
+    steps = [[OLD], [OLD, NEW], [NEW, OLD], [NEW]]
+    for before, after in zip(steps, steps[1:], strict=False):
+        for one, other in ((before, after), (after, before)):
+            assert seal.Seal(one).open(seal.Seal(other).close(SOUND)) == SOUND
+
+
+@pytest.mark.parametrize(
+    "text", [SOUND, seal.Seal([OTHER]).close(SOUND), seal.Seal([OLD]).close(SOUND)[:-1], seal.Seal([OLD]).close(SOUND).replace("v1q", "v1p"), "", "~"]
+)
+def test_a_seal_refuses_what_no_key_made(text: str) -> None:
+    assert seal.Seal([OLD, NEW]).open(text) is None
+
+
+def test_a_key_file_says_what_is_wrong_with_it() -> None:
+    assert seal.read_keys(b"# first\n" + OLD + b"\n\n" + NEW) == [OLD, NEW]
+    for text, says in ((b"short", "shorter than 16"), (b"# none\n", "no key")):
+        with pytest.raises(ValueError, match=says):
+            seal.read_keys(text)
+
+
+# One member
+
+
+def alone(me: int = 0, members: int = 3, now: float = 1000.0) -> view.View:
+    return view.View(me, members, now, seed=1)
+
+
+def from_peer(sender: Record, serial: int = 1, kind: str = words.PING, parts: tuple[int, ...] = (1,), told: tuple[Record, ...] = ()) -> str:
+    return words.write(words.Message(kind, sender, serial, 0, parts), told)[0]
+
+
+PEER = Record(1, 36**8, 1, ALIVE)
+
+
+@pytest.mark.parametrize(
+    ("source", "text", "counted"),
+    [
+        (1, "v1 nonsense", "garbled"),
+        (1, from_peer(PEER)[:20], "garbled"),
+        (2, from_peer(PEER), "forged"),
+        (0, from_peer(PEER._replace(number=0)), "forged"),
+        (1, from_peer(PEER, serial=5), "replayed"),
+        (1, from_peer(PEER, serial=4), "replayed"),
+        (1, from_peer(PEER._replace(life=PEER.life - 1), serial=9), "earlier_life"),
+    ],
+)
+def test_what_is_dropped_is_counted_and_changes_nothing(source: int, text: str, counted: str) -> None:
+    one = alone()
+    for serial in (4, 5):
+        one.heard(1, from_peer(PEER, serial=serial), 1000.1)
+    before = sorted(one.table)
+    one.heard(source, text, 1000.2)
+    assert one.counts[counted] == 1 and sorted(one.table) == before
+
+
+def test_datagrams_that_overtake_each_other_are_not_replays() -> None:
+    one = alone()
+    for serial in (5, 3, 4, 70):
+        one.heard(1, from_peer(PEER, serial=serial), 1000.1)
+    assert one.counts["replayed"] == 0
+    one.heard(1, from_peer(PEER, serial=5), 1000.1)  # far behind the newest counts as come before
+    assert one.counts["replayed"] == 1
+
+
+def test_one_that_is_suspected_or_held_dead_refutes_it() -> None:
+    for state in (SUSPECT, DEAD):
+        one = alone()
+        one.heard(1, from_peer(PEER, kind=words.ANSWER), 1000.1)
+        assert one.own.state == ALIVE
+        one.heard(1, from_peer(PEER, serial=2, told=(one.own._replace(state=state),)), 1000.2)
+        told = one.table.get(0)
+        assert told and told.state == ALIVE and told.turn == 2
+
+
+def test_the_later_start_of_two_with_one_number_goes_on() -> None:
+    one = alone()
+    one.heard(1, from_peer(PEER, kind=words.ANSWER), 1000.1)
+    one.heard(1, from_peer(PEER, serial=2, told=(one.own._replace(life=one.own.life + 1),)), 1000.2)
+    assert one.yielded and not one.acting and one.beat(1000.3) == []
+
+
+def test_one_whose_clock_was_set_back_goes_past_its_earlier_life_but_only_while_it_joins_and_once() -> None:
+    one = alone()
+    later = one.own.life + 10**9
+    one.heard(1, from_peer(PEER, told=(one.own._replace(life=later),)), 1000.1)
+    assert one.own.life > later and not one.yielded
+    one.heard(1, from_peer(PEER, serial=2, told=(one.own._replace(life=one.own.life + 1),)), 1000.2)
+    assert one.yielded
+
+
+def test_one_that_stood_still_acts_only_once_a_peer_has_answered_or_it_is_alone() -> None:
+    one = alone()
+    one.heard(1, from_peer(PEER, kind=words.ANSWER), 1000.1)
+    one.beat(1000.25)
+    assert one.acting
+    sent = one.beat(1005.0)
+    assert not one.acting and sent
+    dead = one.own._replace(state=DEAD)
+    one.heard(1, from_peer(PEER, serial=2, kind=words.ANSWER, told=(dead,)), 1005.1)
+    assert one.acting and one.own.turn == dead.turn + 1  # it has learned of its death first
+    one.beat(1010.0)
+    for n in range(8):
+        one.beat(1010.25 + n * view.BEAT)
+    assert one.acting  # nobody is there
+
+
+def test_while_it_stood_still_nobody_died() -> None:
+    one = alone()
+    one.heard(1, from_peer(PEER, kind=words.ANSWER), 1000.1)
+    for n in range(1, 8):
+        one.beat(1000.0 + n * view.BEAT)
+    suspects = [r for r in one.table if r.state == SUSPECT]
+    assert suspects  # the peer says nothing any more
+    one.beat(1020.0)
+    assert not [r for r in one.table if r.state == DEAD]
+
+
+# Many members
+
+
+def settled(members: int, seed: int = 1, lose: float = 0.0) -> Sim:
+    sim = Sim(members, seed, lose)
+    sim.start_all()
+    assert sim.settle(longest=10.0) is not None
+    return sim
+
+
+def states(sim: Sim, observer: int) -> dict[int, str]:
+    return {number: state for number, (state, _) in sim.members[observer].view.shown().items()}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_twenty_started_in_the_same_moment_agree(seed: int) -> None:
+    settled(20, seed)
+
+
+def test_a_fleet_whose_first_members_are_dead_agrees_on_that() -> None:
+    sim = Sim(8, 1)
+    for number in range(2, 8):
+        sim.start(number)
+    assert sim.settle(longest=10.0) is not None
+    assert states(sim, 5)[0] == "dead"
+    sim.start(0)
+    assert sim.settle(longest=5.0) is not None
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_crash_a_crash_of_half_and_their_return_settle(seed: int) -> None:
+    sim = settled(12, seed)
+    for gone in ([4], [0, 1, 2, 3, 5, 6]):
+        for number in gone:
+            sim.kill(number)
+        began = sim.now
+        assert sim.settle(longest=6.0) is not None
+        assert all(sim.suspected[number] - began < 3.0 for number in gone)
+        for number in gone:
+            sim.start(number)
+        assert sim.settle(longest=5.0) is not None
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_two_parts_settle_each_and_then_together(seed: int) -> None:
+    sim = settled(12, seed)
+    sim.cut = lambda a, b: (a < 5) != (b < 5)
+    assert sim.settle(lambda: sim.agreed(range(5)) and sim.agreed(range(5, 12)), 10.0) is not None
+    assert states(sim, 0)[11] == "dead"
+    sim.cut = lambda a, b: False
+    assert sim.settle(longest=5.0) is not None
+
+
+def test_a_cut_between_two_alone_kills_nobody_and_both_say_that_they_cannot_hear() -> None:
+    sim = settled(8)
+    sim.cut = lambda a, b: {a, b} == {2, 6}
+    sim.forget()
+    sim.run(15.0)
+    assert sim.deaths == [] and sim.agreed()
+    assert sim.members[2].view.unheard() == [6] and sim.members[6].view.unheard() == [2]
+    assert sim.members[2].view.deaf() == [6] and {r.unheard for r in sim.members[4].view.table if r.number == 2} == {(6,)}
+    sim.cut = lambda a, b: False
+    sim.run(8.0)
+    assert sim.members[2].view.unheard() == [] == sim.members[6].view.deaf()
+
+
+def test_a_link_one_way_is_told_by_the_side_that_cannot_hear() -> None:
+    sim = settled(8)
+    sim.cut = lambda a, b: (a, b) == (2, 6)
+    sim.run(15.0)
+    assert sim.members[6].view.unheard() == [2] and sim.members[2].view.unheard() == []
+    assert sim.members[2].view.deaf() == [6] and sim.agreed()
+
+
+def test_one_that_hears_all_and_is_heard_by_none_is_dead_to_the_others_until_it_can_speak() -> None:
+    sim = settled(6)
+    sim.cut = lambda a, b: a == 3
+    sim.run(8.0)
+    assert all(states(sim, n)[3] == "dead" for n in range(6) if n != 3)
+    sim.cut = lambda a, b: False
+    assert sim.settle(longest=5.0) is not None
+
+
+def test_flapping_links_settle_once_they_hold() -> None:
+    sim = settled(10)
+    for turn in range(12):
+        sim.cut = (lambda a, b: (a < 5) != (b < 5)) if turn % 2 else (lambda a, b: False)
+        sim.run(0.5)
+    sim.cut = lambda a, b: False
+    assert sim.settle(longest=5.0) is not None
+
+
+def test_one_paused_past_its_death_learns_of_it_before_it_acts() -> None:
+    sim = settled(6)
+    sim.pause(2)
+    sim.run(8.0)
+    assert states(sim, 0)[2] == "dead"
+    one = sim.members[2].view
+    turn = one.own.turn
+    sim.resume(2)
+    assert not one.acting
+    assert sim.settle(lambda: one.acting, 1.0) is not None
+    assert one.own.turn > turn and sim.settle(longest=5.0) is not None
+
+
+def test_one_that_left_is_not_held_for_dead_and_can_come_back() -> None:
+    sim = settled(6)
+    sim._pass(sim.members[2], sim.members[2].view.leave(sim.now))
+    sim.kill(2)
+    sim.run(3.0)
+    assert {states(sim, n)[2] for n in (0, 1, 3)} == {"left"}
+    sim.start(2)
+    assert sim.settle(longest=5.0) is not None
+
+
+def test_one_that_starts_again_with_its_clock_set_back_is_taken_for_alive() -> None:
+    sim = settled(6)
+    sim.kill(2)
+    sim.start(2, clock_back=3600.0)
+    assert sim.settle(longest=6.0) is not None
+    assert sim.members[2].view.counts["life_raised"] == 1
+
+
+def test_loss_kills_nobody_and_messages_do_not_grow_with_the_fleet() -> None:
+    rates = []
+    for members in (8, 48):
+        sim = settled(members, lose=0.1)
+        sim.run(20.0)
+        sim.forget()
+        sim.run(10.0)
+        assert sim.deaths == []
+        rates.append(sim.sent / members)
+    assert rates[1] < 1.3 * rates[0]
+
+
+def test_the_bench_reports_each_scenario_by_size() -> None:
+    found = bench.report([6], 2, 0.1, 0.5, lambda text: None)["6"]
+    assert found["false_deaths"] == 0 and found["member_minutes"] == 3.0
+    assert all(found[key]["not_settled"] == 0 and found[key]["worst"] < 6 for key in ("start", "one_dead", "half_dead", "split", "heal"))
+
+
+# What the decision module makes of it
+
+
+def gateway(gateways: int = 3) -> Gateway:
+    one = Gateway(replace(SETTINGS, gateways=gateways, messages_in_per_s=100.0), seed=1)
+    one.handle(servers("full", entry("s1")), 1000.0)
+    return one
+
+
+def test_one_that_does_not_act_takes_nothing_new_and_says_so_harmlessly() -> None:
+    one = gateway()
+    one.handle(api.Fleet(False, (0, 1, 2)), 1000.1)
+    refused = only(ask(one, 1000.2, "look"), api.Refuse)[0]
+    assert refused.why == "away" and one.held == {}
+    one.handle(api.Fleet(True, (0, 1, 2)), 1000.3)
+    assert only(ask(one, 1000.4, "look"), api.Send)
+
+
+def told(one: Gateway, now: float) -> set[int]:
+    return {action.gateway for action in one.handle(api.Timer("beat"), now) if isinstance(action, api.Tell)}
+
+
+@pytest.mark.parametrize("event", [api.Fleet(True, (0, 1)), api.Fleet(True, (0, 1, 2), deaf=(2,))])
+def test_those_that_are_gone_or_cannot_hear_are_not_told_until_they_are_back(event: api.Fleet) -> None:
+    one = gateway()
+    one.handle(event, 1000.1)
+    ask(one, 1000.2, "look", spread=3)
+    assert told(one, 1000.3) == {1}
+    one.handle(api.Fleet(True, (0, 1, 2)), 1000.4)
+    assert 2 in told(one, 1000.5)  # with what was charged meanwhile
