Two processes with one number find each other; a death told by others is first asked about

Cause: drills with real processes. (1) Two processes of one number at one address each get a part of what peers send, by the system's choice of socket, so the older one may hear nothing that tells it of the later (test hung: it never left). (2) After a cut each side held the other's members dead and told so to those who had heard them all the time, so that a member showed dead for a moment in its own part (`dead` in n0's lines of n1, its neighbour).

Change: a process sends to its own address from other ports, so that a twin hears of it (Peers.own); the earlier start leaves and says so. View._doubted pings a member whose death others tell before it believes that.

--- a/hazelhollow/bench/commands.py
+++ b/hazelhollow/bench/commands.py
@@ -10,6 +10,7 @@
 import orjson
 
 from hazelhollow.bench import cpu, store
+from hazelhollow.bench import fleet as fleets
 
 
 @click.group("bench")
@@ -85,3 +86,43 @@
         Path(file).write_bytes(text + b"\n")
     else:
         click.echo(text.decode())
+
+
+@bench.command("fleet")
+@click.option("--sizes", default="20,100", show_default=True, metavar="N,M", help="Members of each fleet, 3 to 2000.")
+@click.option("--seeds", default=5, show_default=True, type=click.IntRange(1, 1000), help="Fleets of each size.")
+@click.option("--lose", default=0.1, show_default=True, type=click.FloatRange(0.0, 0.9), help="Share of datagrams lost, for false deaths.")
+@click.option("--minutes", default=5.0, show_default=True, type=click.FloatRange(0.0, 600.0), help="Of that loss, on the virtual clock.")
+@click.option("--json", "file", metavar="FILE", help="Write the figures there; '-' prints them.")
+@click.option("--plot", metavar="FILE", help="Draw them by size as SVG or PNG (needs requirements-plot.txt).")
+def fleet_(sizes: str, seeds: int, lose: float, minutes: float, file: str | None, plot: str | None) -> None:
+    """The view of the fleet in memory: seconds to settle after a start, a crash, a crash of half, a split and its heal.
+
+    Exit status 1: some fleet did not settle within a minute.
+    """
+    try:
+        counts = [int(size) for size in sizes.split(",")]
+        if not all(3 <= count <= 2000 for count in counts):
+            raise ValueError("a fleet has 3 to 2000 members")
+        if plot:
+            from hazelhollow.bench import (
+                plots,  # before the runs: they are long, and the library may not be there
+            )
+    except (ValueError, ModuleNotFoundError) as error:
+        click.echo(f"hazelhollow: {error}", err=True)
+        sys.exit(2)
+    tty = sys.stderr.isatty()
+    found = fleets.report(counts, seeds, lose, minutes, lambda text: click.echo(f"\r\x1b[K{text}", nl=False, err=True) if tty else None)
+    if file == "-":
+        click.echo(orjson.dumps(found, option=orjson.OPT_INDENT_2).decode())
+    else:
+        if file:
+            Path(file).write_bytes(orjson.dumps(found, option=orjson.OPT_INDENT_2))
+        for size, row in found.items():
+            shown = [f"{key} {row[key]['median']} (worst {row[key]['worst']})" for key in fleets.SHOWN]
+            click.echo(f"{size} members: " + ", ".join(shown))
+            if "false_deaths" in row:
+                click.echo(f"  {row['false_deaths']} false deaths in {row['member_minutes']:.0f} member-minutes at {lose:.0%} loss")
+    if plot:
+        plots.fleet(found, plot)
+    sys.exit(1 if any(row[key]["not_settled"] for row in found.values() for key in fleets.SHOWN) else 0)
--- a/hazelhollow/bench/fleet.py
+++ b/hazelhollow/bench/fleet.py
@@ -15,6 +15,9 @@
 START = 1_700_000_000.0
 DELAY = (0.001, 0.02)  # seconds on the way
 LONGEST = 60.0  # seconds until a scenario counts as not settled
+SHOWN = (
+    "start", "one_suspected", "one_dead", "one_joins", "half_dead", "half_join", "split", "heal", "messages", "bytes",
+)  # fmt: skip
 LOOK = 0.05  # seconds between looks at whether all agree
 
 
@@ -112,11 +115,13 @@
         self._pass(one, one.view.heard(source, text, self.now))
 
     def _watch(self, one: Member) -> None:
-        for record in one.view.table:
-            if record.state in (SUSPECT, DEAD) and record.life:
-                self.suspected.setdefault(record.number, self.now)
-                if record.state == DEAD and one.view.since.get(record.number) == self.now:
-                    self.deaths.append((self.now, one.number, record.number))
+        moved, one.view.moved = one.view.moved, []
+        for number in moved:
+            record = one.view.table.get(number)
+            if record and record.state in (SUSPECT, DEAD) and record.life:
+                self.suspected.setdefault(number, self.now)
+                if record.state == DEAD:
+                    self.deaths.append((self.now, one.number, number))
 
     # Time
 
@@ -137,7 +142,7 @@
         while not met():
             if self.now - began > longest:
                 return None
-            self.run(LOOK)
+            self.run(LOOK if self.count < 200 else 5 * LOOK)
         return self.now - began
 
     def agreed(self, among: Iterable[int] | None = None) -> bool:
--- a/hazelhollow/fleet/driver.py
+++ b/hazelhollow/fleet/driver.py
@@ -4,6 +4,7 @@
 
 import logging
 import os
+import socket
 from collections.abc import Callable
 from pathlib import Path
 
@@ -18,6 +19,7 @@
 from hazelhollow.net.sparse import Sparse
 
 MARK = DIALECT[0]  # what a datagram of the view begins with; the gossip's begin with another letter
+YOUNG, TWIN_EVERY = 3.0, 2.0  # seconds of life in which a twin is told at each beat; between tellings later
 TROUBLE_EVERY = 10.0  # seconds between lines about datagrams that were dropped
 
 log = logging.getLogger(__name__)
@@ -41,16 +43,16 @@
         self._told, self._yielded = told, yielded
         self._lines = os.open(lines, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644) if lines else -1
         self._last: api.Fleet | None = None
-        self._shown: dict[int, tuple[str, int]] = {}
         self._gossip = peers.heard
         self._ended = False
         self._reported = 0
         self._log = Sparse(log, scheduler.clock)
 
     def start(self) -> None:
-        self._peers.heard = self.heard
+        self._peers.heard, self._peers.own = self.heard, self._heard_twin
         self._beat()
         self._report()
+        self._tell_twin()
 
     def heard(self, sender: int, text: str) -> None:
         if not text.startswith(MARK):
@@ -62,6 +64,28 @@
             return
         self._pass_on(self.view.heard(sender, plain, self._scheduler.clock()))
 
+    def _heard_twin(self, text: str) -> None:
+        """A process that has this one's number and address; of what peers send here each gets a part, by chance."""
+        plain = self._seal.open(text)
+        if plain is not None:
+            self.view.heard_twin(plain)
+            self._pass_on([])
+
+    def _tell_twin(self) -> None:
+        """Datagrams to the own address go to one of the processes that listen there, by the port that they come from:
+        so each comes from another."""
+        if self._ended:
+            return
+        young = self._scheduler.clock() - self.view.began < YOUNG
+        self._scheduler.at(self._scheduler.clock() + (views.BEAT if young else TWIN_EVERY), self._tell_twin)
+        try:
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                sock.setblocking(False)
+                sock.bind((self._peers.address[0], 0))
+                sock.sendto(self._seal.close(self.view.own_word()).encode(), self._peers.address)
+        except OSError as error:
+            self._log.warning("view: cannot send to the own address: %s", error)
+
     def end(self) -> None:
         if not self._ended:
             self._ended = True
@@ -99,18 +123,17 @@
     def _changed(self) -> None:
         view = self.view
         event = api.Fleet(view.acting, tuple(view.present()), tuple(view.unheard()), tuple(view.deaf()))
+        acts = self._last is None or event.acting != self._last.acting
         if event != self._last:
             if self._last is not None and event.acting != self._last.acting:
                 log.warning("view: %s", "takes work again" if event.acting else "takes no new work until a peer has answered")
             self._last = event
             self._told(event)
-        shown = view.shown()
-        for number in sorted(shown):
-            state, life = shown[number]
-            if self._shown.get(number, ("", 0))[0] != state:
-                self._log.say(logging.INFO, "view: member %d is %s", number, state)
-        if shown != self._shown:
-            self._shown = shown
+        moved, view.moved = view.moved, []
+        if moved or acts:
+            shown = view.shown()
+            for number in dict.fromkeys(moved):
+                self._log.say(logging.INFO, "view: member %d is %s", number, shown[number][0])
             self._write(shown)
         if view.yielded and not self._ended:
             self._ended = True
--- a/hazelhollow/fleet/view.py
+++ b/hazelhollow/fleet/view.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 from collections import Counter
@@ -29,6 +30,9 @@
 UNHEARD_AFTER = 2  # probes in a row that only others' words answered
 PIECES = 4  # datagrams of records for one that asks for them
 RUMOUR_TIMES = 3  # times log2 of the fleet that a record is passed on
+MOST_ASKED = 8  # members at once that are asked about a death that others told
+SAME = 4  # members in a row with the same table, after which no rumour is worth passing on
+MOST_NEWS = 14  # records that a datagram may have room for
 ABSENT_EVERY = 2  # beats between probes of members that are not there
 HINT_EVERY = 0.5  # seconds between words to one sender about its own old life
 WINDOW = 64  # serials behind the newest that may still come
@@ -87,6 +91,7 @@
         self.acting, self.waking = False, now  # whether it may take; since when it waits for a first answer
         self.yielded = False  # another process has its number and began later
         self.changed = True
+        self.moved = [me]  # members whose state or life has changed since the driver emptied this
         self.counts: Counter[str] = Counter()
         self._raised = False  # its life, over that of a process that it took for its own earlier one
         self._out: list[Send] = []
@@ -96,12 +101,14 @@
         self._absent: list[int] = []
         self._probes: dict[int, Probe] = {}
         self._suspects: dict[int, tuple[Record, float]] = {}  # and when each is dead
+        self._doubts: dict[int, tuple[Record, float]] = {}  # deaths that others told, and until when they are asked about
         self._rumours: dict[int, int] = {}  # times that a member's record was passed on
         self._last_news: list[Record] = []
+        self._often = RUMOUR_TIMES * math.ceil(math.log2(members + 1))
         self._heard: dict[int, Heard] = {}
         self._silent: Counter[int] = Counter()  # probes in a row that were answered by others' words alone
         self._unheard: set[int] = set()
-        self._synced_at = -1.0
+        self._synced_at, self._same = -1.0, 0
         self._sync_due: int | None = None
 
     # What the driver calls
@@ -162,6 +169,16 @@
             self._compare(message)
         return self._out
 
+    def heard_twin(self, text: str) -> None:
+        """From this machine: a process with this one's number, or this one itself. The later start goes on."""
+        message = words.read(text, self.members)
+        if message and message.sender.number == self.me and message.sender.life > self.own.life:
+            self._yield()
+
+    def own_word(self) -> str:
+        """What says that this process is there."""
+        return words.write(Message(words.PIECE, self.own, 0, 0), (), self.most)[0]
+
     def leave(self, now: float) -> list[Send]:
         """It goes for good: said to several at once, since it will not be there to say it again."""
         self.now, self._out = now, []
@@ -213,11 +230,14 @@
                 self._restate(JOINING, life=record.life + 1296, turn=0)
                 self.counts["life_raised"] += 1
                 return
-            self.yielded, self.acting, self.changed = True, False, True
+            self._yield()
         elif record.life == self.own.life and record > self.own and self.own.state != LEFT:
             self.counts["refuted"] += 1
             self._restate(self.own.state, turn=record.turn + 1)
 
+    def _yield(self) -> None:
+        self.yielded, self.acting, self.changed = True, False, True
+
     def _woken(self) -> None:
         """A peer has answered: what it says of this member has been read before."""
         if not self.acting:
@@ -229,6 +249,7 @@
         """Nothing that was timed before holds; and it may be dead to the others, which it must hear before it acts."""
         self.counts["stood_still"] += 1
         self._probes.clear()
+        self._doubts.clear()
         self._suspects = {n: (record, self.now + self._suspicion()) for n, (record, _) in self._suspects.items()}
         self.acting, self.waking, self.changed = False, self.now, True
 
@@ -256,7 +277,8 @@
         return self._number
 
     def _probe(self) -> None:
-        self._round = [n for n in self._round if self._is_present(n)]
+        while self._round and not self._is_present(self._round[-1]):
+            self._round.pop()
         if not self._round:
             self._round = [n for n in self.table.present() if n != self.me]
             self.random.shuffle(self._round)
@@ -303,6 +325,10 @@
             if self.now - probe.at >= ANSWER_BY * self._patience():
                 del self._probes[number]
                 self._ended(probe)
+        for number, (record, until) in list(self._doubts.items()):
+            if self.now >= until:
+                del self._doubts[number]
+                self._put(record)  # which changes nothing if it has refuted that
         for number, (record, until) in list(self._suspects.items()):
             if self.table.get(number) != record:
                 del self._suspects[number]
@@ -357,9 +383,23 @@
     def _learn(self, record: Record) -> None:
         if record.number == self.me:
             self._own_heard(record)
-        else:
+        elif not self._doubted(record):
             self._put(record)
 
+    def _doubted(self, record: Record) -> bool:
+        """A death that others tell of one that is well here is first asked about: after a cut each side holds the other's
+        members dead, and tells so to those who have heard them all the time."""
+        known = self.table.get(record.number)
+        if record.state != DEAD or known is None or known.state not in (ALIVE, JOINING) or record.life != known.life:
+            return False
+        if record <= known:
+            return True  # old word
+        if record.number not in self._doubts:
+            if len(self._doubts) < MOST_ASKED:
+                self._send(record.number, words.PING, (self._next(),), [record])
+            self._doubts[record.number] = record, self.now + ANSWER_BY * self._patience()
+        return True
+
     def _put(self, record: Record) -> None:
         before = self.table.get(record.number)
         if not self.table.put(record):
@@ -369,6 +409,7 @@
         self._rumours[record.number] = 0
         if before is None or (before.state, before.life) != (after.state, after.life):
             self.since[record.number] = self.now
+            self.moved.append(record.number)
         self.changed = True
         if after.state == SUSPECT and record.number != self.me:
             self._suspects[record.number] = (after, self.now + self._suspicion())
@@ -409,7 +450,11 @@
             self._send(asker, words.RELAYED, parts)
 
     def _compare(self, message: Message) -> None:
-        if message.kind not in (words.SUMS, words.PIECE) and message.digest != self.table.digest():
+        same = message.digest == self.table.digest()
+        self._same = self._same + 1 if same else 0
+        if self._same >= SAME:  # all whom it meets have this table: what they lack would show by their digests
+            self._rumours.clear()
+        if message.kind not in (words.SUMS, words.PIECE) and not same:
             if self.now - self._synced_at >= BEAT:  # one at a time, or many would ask the same
                 self._synced_at, self._sync_due = self.now, message.sender.number
 
@@ -440,8 +485,11 @@
 
     def _news(self) -> list[Record]:
         """Records that have been passed on least, until each has been often enough."""
-        most = RUMOUR_TIMES * math.ceil(math.log2(self.members + 1))
-        self._rumours = {n: times for n, times in self._rumours.items() if times < most}
-        order = sorted(self._rumours, key=self._rumours.__getitem__)[:16]
-        self._last_news = [record for n in order if n != self.me and (record := self.table.get(n)) is not None]
+        self._last_news = []
+        for number in heapq.nsmallest(MOST_NEWS, self._rumours, key=self._rumours.__getitem__):
+            record = self.table.get(number)
+            if self._rumours[number] >= self._often or record is None:
+                del self._rumours[number]
+            elif number != self.me:
+                self._last_news.append(record)
         return self._last_news
--- a/hazelhollow/fleet/words.py
+++ b/hazelhollow/fleet/words.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import lru_cache
 from typing import NamedTuple
 
 from hazelhollow.fleet.records import BUCKETS, LEFT, SUM_RANGE, Record
@@ -18,6 +19,7 @@
 MOST_BYTES = 256
 MOST_UNHEARD = 8  # members named in one record; the rest are left out
 MOST_VERSIONS = 24  # bytes
+KEPT = 4096  # records whose words are known both ways: most that come have come before
 PING, ANSWER = "p", "a"
 ASK, INDIRECT, RELAYED = "q", "i", "j"  # of a helper; by it to the target; its answer, by way of the helper
 SUMS, PIECE = "s", "t"  # of a table's buckets; records that the other's table lacks
@@ -38,6 +40,7 @@
     records: tuple[Record, ...] = ()
 
 
+@lru_cache(KEPT)
 def record_word(record: Record) -> str:
     """One record, with the space before it."""
     text = f" {base36(record.number)}.{base36(record.life)}.{base36(record.turn)}.{record.state}"
@@ -87,6 +90,7 @@
     return number
 
 
+@lru_cache(KEPT)
 def _record(word: str, members: int) -> Record:
     number, life, turn, state, *rest = word.split(".")
     unheard = tuple(_number(n, members) for n in rest[0].split("-")) if rest and rest[0] else ()
--- a/hazelhollow/net/peers.py
+++ b/hazelhollow/net/peers.py
@@ -32,6 +32,7 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # a new version beside this one
         self._sock.bind(listen)
         self.address: tuple[str, int] = self._sock.getsockname()
+        self.own: Callable[[str], None] | None = None  # gets what another process of this machine sends here
 
     def tell(self, number: int, text: str) -> None:
         """Best effort, as datagrams are."""
@@ -63,6 +64,9 @@
         except UnicodeDecodeError:
             text = ""
         if number is None or not text or len(data) > MOST_BYTES:
+            if self.own and text and sender[0] == self.address[0] and len(data) <= MOST_BYTES:
+                self.own(text)
+                return
             self._stats.junk += 1
             return
         self._stats.heard += 1
--- a/hazelhollow/rig/commands.py
+++ b/hazelhollow/rig/commands.py
@@ -13,7 +13,7 @@
 import click
 import orjson
 
-from hazelhollow.rig import control, plan, shrink, world
+from hazelhollow.rig import control, cost, plan, shrink, world
 from hazelhollow.rig.drill import Drill
 
 NEVER = ("crashes", "lost", "doubled", "untrue_answers", "repeats_not_allowed", "ceilings_passed", "views_differ", "false_deaths")
@@ -233,6 +233,21 @@
         click.echo(text.decode())
 
 
+@fleet.command("cost")
+@click.option("--instances", default=2, show_default=True, type=click.IntRange(1, 16))
+@click.option("--rate", default=150.0, show_default=True, type=click.FloatRange(1, 2000), help="Requests a second at each limiter.")
+@click.option("--seconds", default=10.0, show_default=True, type=click.FloatRange(5, 600), help="Of load in each run.")
+@click.option("--rounds", default=5, show_default=True, type=click.IntRange(1, 100))
+def cost_(instances: int, rate: float, seconds: float, rounds: int) -> None:
+    """CPU a request and memory without an operator file, with a bare one, and with the view, in runs that take turns."""
+    ways: dict[str, cost.Operator | None] = {"plain": None, "operator file": cost.quiet_file, "view": view_file}
+    try:
+        found = cost.cost(instances, rate, seconds, rounds, ways, _progress())
+    except (world.RigError, OSError) as error:
+        _fail(str(error))
+    click.echo(orjson.dumps(found, option=orjson.OPT_INDENT_2).decode())
+
+
 def _earlier(source: Path) -> plan.Plan:
     try:
         document = orjson.loads(source.read_bytes())
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,153 @@
+"""The view kept by real processes while links, clocks and processes break."""
+
+from __future__ import annotations
+
+import json
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hazelhollow.gossip import base36
+from hazelhollow.net import scheduler as sch
+from hazelhollow.rig import checker, plan
+from hazelhollow.rig.commands import NEVER, view_file
+from hazelhollow.rig.drill import Drill
+from hazelhollow.rig.world import World
+
+Event = plan.Event
+
+
+def played(tmp_path: Path, one: plan.Plan) -> tuple[dict[str, Any], Path]:
+    """The figures of a drill, and the folder with its lines."""
+    folder = tmp_path / "drill"
+    folder.mkdir()
+    return Drill(one, folder, operator=view_file, keep=True).run(), folder
+
+
+def kept(found: dict[str, Any]) -> dict[str, Any]:
+    return {key: found[key] for key in NEVER}
+
+
+def states(folder: Path, observer: str, number: int) -> list[str]:
+    """What one limiter held another for, in order."""
+    lines = [row["members"].get(str(number), ["unknown"])[0] for row in checker.rows(folder / f"{observer}.view.jsonl")]
+    return [state for n, state in enumerate(lines) if n == 0 or lines[n - 1] != state]
+
+
+def test_overlapping_faults_break_no_promise_and_all_agree_in_the_end(tmp_path: Path) -> None:
+    events = (
+        Event(at=1.0, what="pause", whom=("n0",), lasts=5.0),
+        Event(at=1.5, what="cut", whom=("n1",), others=("n2",), lasts=5.0, one_way=True),
+        Event(at=7.0, what="kill", whom=("n2", "n3"), lasts=4.0),
+        Event(at=7.5, what="restart", whom=("n1",)),
+        Event(at=8.0, what="lose", whom=("*",), others=("*",), lasts=3.0, amount=0.1),
+    )
+    load = (plan.Load(customer="00000000b4d65521", rate=10.0), plan.Load(customer="00000000a1b2c3d4", kind="buy", rate=2.0))
+    found, folder = played(tmp_path, plan.Plan(name="many", instances=5, seconds=12.0, events=events, load=load))
+    assert kept(found) == dict.fromkeys(NEVER, 0)
+    assert found["requests"] > 500 and (found["kills"], found["stalls"], found["cuts"]) == (2, 1, 1)
+    assert found["settled_s_p99"] < 5.0 and found["suspected_s_max"] < 3.0
+    # One that was told to end left; it was not held for dead.
+    assert "left" in states(folder, "n4", 1) and "dead" not in states(folder, "n4", 1)
+
+
+def test_two_parts_each_settle_and_then_agree(tmp_path: Path) -> None:
+    events = (Event(at=1.0, what="cut", whom=("n0", "n1"), lasts=6.0),)
+    found, folder = played(tmp_path, plan.Plan(name="parts", instances=5, seconds=8.0, events=events))
+    assert kept(found) == dict.fromkeys(NEVER, 0) and found["settled_s_p99"] < 5.0
+    for observer, number in (("n0", 4), ("n4", 0)):
+        assert states(folder, observer, number)[-3:] == ["suspect", "dead", "alive"]
+    assert "dead" not in states(folder, "n0", 1) + states(folder, "n4", 2)
+
+
+class Fleet:
+    """A world whose scheduler is turned by the test."""
+
+    def __init__(self, folder: Path, instances: int) -> None:
+        folder.mkdir()
+        self.folder, self.scheduler = folder, sch.Scheduler(sch.Clock())
+        self.world = World(self.scheduler, plan.Plan(name="x", instances=instances, hosts=1), folder, operator=view_file)
+        self.scheduler.spawn(self._start)
+        self.up = False
+        self.until(lambda: self.up)
+
+    def _start(self) -> None:
+        self.world.start()
+        self.up = True
+
+    def until(self, met: Callable[[], bool]) -> None:
+        """Within a bound that no sound machine needs."""
+        end = self.scheduler.clock() + 30.0
+        while not met():
+            assert self.scheduler.clock() < end, "not met"
+            self.scheduler.turn(longest=0.05)
+
+    def whole(self) -> bool:
+        """All hold all for alive."""
+        views = [self.view(name) for name in self.world.names]
+        return all(len(view) == len(views) and {entry[0] for entry in view.values()} == {"alive"} for view in views)
+
+    def view(self, name: str) -> dict[str, Any]:
+        lines = checker.rows(self.folder / f"{name}.view.jsonl")
+        members: dict[str, Any] = lines[-1]["members"] if lines else {}
+        return members
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Any:
+    one = Fleet(tmp_path / "fleet", 3)
+    yield one
+    one.world.close()
+
+
+def test_one_stopped_past_its_death_says_that_it_does_not_act_before_it_does(fleet: Fleet) -> None:
+    fleet.until(fleet.whole)
+    fleet.world.crew.signal("n0", signal.SIGSTOP)
+    fleet.until(lambda: fleet.view("n1")["0"][0] == fleet.view("n2")["0"][0] == "dead")
+    fleet.world.crew.signal("n0", signal.SIGCONT)
+
+    def acting() -> list[bool]:
+        return [row["acting"] for row in checker.rows(fleet.folder / "n0.view.jsonl")]
+
+    fleet.until(lambda: fleet.whole() and acting()[-1])
+    assert acting()[0] is False and False in acting()[acting().index(True) :]
+
+
+def test_of_two_processes_with_one_name_the_later_goes_on_and_the_other_says_so_and_leaves(fleet: Fleet) -> None:
+    crew = fleet.world.crew
+    fleet.until(fleet.whole)
+    first = crew.members["n1"]
+    life = fleet.view("n0")["1"][1]
+    crew.add("again", first.command, {**first.environment, "RELAY_OPERATOR": f"{fleet.world.own(2, 0)[0]}:7001"})
+    crew.start("again")
+    fleet.until(lambda: crew.reap("n1"))
+    assert first.status == 0 and "another process has number 1 and began later" in first.log.read_text()
+    fleet.until(lambda: fleet.view("n0")["1"][0] == "alive" and fleet.view("n0")["1"][1] > life)
+    assert crew.members["again"].running
+
+
+def test_a_forged_datagram_and_one_of_an_earlier_life_change_no_view(fleet: Fleet) -> None:
+    fleet.until(fleet.whole)
+    before = fleet.view("n0")
+    relay, target = fleet.world.relay, fleet.world.own(1, 7946)
+    out = relay._datagrams["n0", "n1"]  # n1's address, as n0 knows it
+    old = before["1"][1] - 1
+    for text in ("v1p nonsense", f"v1p 2.{base36(old)}.1.1/1/1 1", f"v1p 1.{base36(old)}.9.1/1/1 1 2.{base36(old)}.99.4"):
+        out.sendto(text.encode(), target)
+    out.sendto(b"\xff\xfe", target)
+    json_line = b""
+
+    def counted() -> bool:
+        nonlocal json_line
+        fleet.world.crew.signal("n0", signal.SIGUSR1)  # it prints its counters
+        fleet.scheduler.turn(longest=0.05)
+        lines = [line for line in fleet.world.crew.members["n0"].log.read_bytes().splitlines() if line.startswith(b'{"at"')]
+        json_line = lines[-1] if lines else b"{}"
+        seen = json.loads(json_line).get("view", {})
+        return bool(seen.get("garbled") and seen.get("forged") and seen.get("earlier_life"))
+
+    fleet.until(counted)
+    assert fleet.view("n0") == before
