A drill that was itself late says so, and does not call such answers lost

Change: the drill watches its own clock and writes down when it was over 0.1 s late; the checker counts what did not come then as `unsure`.

Tests: lost, unsure, and late at another time.

--- a/hazelhollow/rig/drill.py
+++ b/hazelhollow/rig/drill.py
@@ -20,6 +20,7 @@
 LISTED_AFTER = 1.5  # seconds until discovery knows that a host has died or is back
 END_WITHIN = 4.0  # seconds for requests that are out, and for processes that were told to end
 SETTLE_WITHIN = 6.0  # seconds past the last fault that a drill goes on at least, so that views can settle
+TICK, TOO_LATE = 0.05, 0.1  # seconds between looks at the drill's own clock; by which it is too late to judge others
 GIVE_UP = 0.02  # seconds between looks
 SIGNALS = {"kill": signal.SIGKILL, "pause": signal.SIGSTOP, "restart": signal.SIGTERM}
 
@@ -84,6 +85,7 @@
             for load in plan.load:
                 self.scheduler.spawn(self.clients.run, door, load, self.begin, self.begin + plan.seconds, name="clients")
         self.scheduler.spawn_lasting(self._count, "count")
+        self.scheduler.spawn_lasting(self._watch_itself, "watch itself")
         for event in spread_out(plan):
             self.scheduler.at(self.begin + event.at, self.scheduler.spawn, self._happen, event)
         end = self.begin + max(plan.seconds, last_end(plan) + SETTLE_WITHIN if plan.events else 0.0)
@@ -111,6 +113,15 @@
         self._faults.write(orjson.dumps(line) + b"\n")
         self._faults.flush()
 
+    def _watch_itself(self) -> None:
+        """When the drill itself was late: what it measured then may be the machine's doing, not the limiters'."""
+        while True:
+            due = self.scheduler.clock() + TICK
+            self.scheduler.sleep(TICK)
+            late = self.scheduler.clock() - due
+            if late > TOO_LATE:
+                self._note(what="late", t=due + late, late=round(late, 3), whom=[])
+
     def _look_for_crashes(self) -> None:
         crew = self.world.crew
         for name in [*self.world.names, *self.world.hosts]:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -287,6 +287,7 @@
     return {"t": t, "id": f"r{number}"}
 
 
+LATE = [{"what": "late", "whom": [], "t": 102.0, "late": 0.5}]
 KILL = [{"what": "kill", "whom": ["n0"], "t": 100.9, "on": True}, {"what": "kill", "whom": ["n0"], "t": 101.5, "on": False}]
 
 
@@ -297,6 +298,9 @@
         (asked(1, outcome="silent", end=102.5), [], [], "lost", 1),
         (asked(1, outcome="reset"), [], [], "lost", 1),
         (asked(1, outcome="reset"), [], KILL, "lost", 0),
+        (asked(1, outcome="silent", end=102.5), [], LATE, "lost", 0),
+        (asked(1, outcome="silent", end=102.5), [], LATE, "unsure", 1),
+        (asked(1, outcome="silent", end=100.5), [], LATE, "unsure", 0),
         (asked(1, end=102.4), [ran(1)], [], "lost", 1),
         (asked(1, extra=1), [ran(1)], [], "doubled", 1),
         (asked(1), [], [], "untrue_answers", 1),
