Members find each other by seeds where no peers are listed; `call fleet`; guards that no test noticed

Change: a record may say its member's address; a stranger whose word names the address that it came from is known from then (the seal says who may). `call fleet` at the operator address, unknown as before where no view is kept.

Guards: 28 taken out, one at a time; six were noticed by nothing (digests, the twin's word, a seal of other letters, a message that is too long, the janitor and the parent-death signal, which covered each other, the token of a fleet) and have tests of their own now.

--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -106,6 +106,7 @@
     \b
     hazelhollow call check           done ready, once it serves
     hazelhollow call vars            the figures, as one JSON line, then `end`
+    hazelhollow call fleet           who is there, where the operator file switches the view on
     hazelhollow call set-down s-7    leave server s-7 out until `set-up s-7`
 
     Exit status 0 for an answer that begins with `done` (or the figures), 1 for `error`, 2 when nobody answers.
--- a/hazelhollow/fleet/driver.py
+++ b/hazelhollow/fleet/driver.py
@@ -4,14 +4,17 @@
 
 import logging
 import os
+import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import Any
 
 import orjson
 
 from hazelhollow import interface as api
 from hazelhollow.fleet import view as views
+from hazelhollow.fleet.records import NAMES, unpack_address
 from hazelhollow.fleet.seal import Seal
 from hazelhollow.fleet.words import DIALECT, MOST_BYTES
 from hazelhollow.net.peers import Peers
@@ -38,18 +41,20 @@
         told: Callable[[api.Fleet], None],
         yielded: Callable[[], None],
         lines: Path | None = None,
+        seeds: Sequence[tuple[str, int]] = (),
     ) -> None:
         self._scheduler, self._peers, self.view, self._seal = scheduler, peers, view, seal
-        self._told, self._yielded = told, yielded
+        self._told, self._yielded, self._seeds = told, yielded, tuple(seeds)
         self._lines = os.open(lines, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644) if lines else -1
         self._last: api.Fleet | None = None
         self._gossip = peers.heard
         self._ended = False
         self._reported = 0
         self._log = Sparse(log, scheduler.clock)
+        self._random = random.Random(view.own.life)
 
     def start(self) -> None:
-        self._peers.heard, self._peers.own = self.heard, self._heard_twin
+        self._peers.heard, self._peers.stranger = self.heard, self._stranger
         self._beat()
         self._report()
         self._tell_twin()
@@ -64,12 +69,21 @@
             return
         self._pass_on(self.view.heard(sender, plain, self._scheduler.clock()))
 
-    def _heard_twin(self, text: str) -> None:
-        """A process that has this one's number and address; of what peers send here each gets a part, by chance."""
-        plain = self._seal.open(text)
-        if plain is not None:
-            self.view.heard_twin(plain)
+    def _stranger(self, text: str, source: tuple[str, int]) -> bool:
+        """From an address that is no peer's: a process that has this one's number and address (of what peers send here
+        each gets a part, by chance), or, where members are found by seeds, one that is not known yet."""
+        plain = self._seal.open(text) if text.startswith(MARK) else None
+        if plain is None:
+            return False
+        if source[0] == self._peers.address[0] and self.view.heard_twin(plain):
             self._pass_on([])
+            return True
+        number = self.view.introduced(plain, source) if self._seeds else None
+        if number is None:
+            return False
+        self._peers.learn(number, source)
+        self._pass_on(self.view.heard(number, plain, self._scheduler.clock()))
+        return True
 
     def _tell_twin(self) -> None:
         """Datagrams to the own address go to one of the processes that listen there, by the port that they come from:
@@ -115,11 +129,24 @@
 
     def _pass_on(self, sends: list[views.Send]) -> None:
         for send in sends:
-            self._peers.tell(send.number, self._seal.close(send.text))
+            self._send(send)
         if self.view.changed:
             self.view.changed = False
             self._changed()
 
+    def _send(self, send: views.Send) -> None:
+        text = self._seal.close(send.text)
+        if not self._seeds or self._peers.knows(send.number):
+            self._peers.tell(send.number, text)
+        else:  # whoever gets it answers, with what it knows
+            self._peers.send(self._random.choice(self._seeds), text)
+
+    def _learn_addresses(self, moved: list[int]) -> None:
+        for number in moved:
+            record = self.view.table.get(number)
+            if record and record.address and number != self.view.me:
+                self._peers.learn(number, unpack_address(record.address))
+
     def _changed(self) -> None:
         view = self.view
         event = api.Fleet(view.acting, tuple(view.present()), tuple(view.unheard()), tuple(view.deaf()))
@@ -130,6 +157,8 @@
             self._last = event
             self._told(event)
         moved, view.moved = view.moved, []
+        if self._seeds:
+            self._learn_addresses(moved)
         if moved or acts:
             shown = view.shown()
             for number in dict.fromkeys(moved):
@@ -140,6 +169,18 @@
             log.error("view: another process has number %d and began later; this one leaves", view.me)
             self._yielded()
 
+    def document(self) -> dict[str, Any]:
+        """The view as operators see it: state, life, seconds in that state and whom it cannot hear, by number."""
+        now, view, members = self._scheduler.clock(), self.view, {}
+        for record in sorted(view.table):
+            members[str(record.number)] = {
+                "state": NAMES[record.state],
+                "life": record.life,
+                "for_s": round(now - view.since.get(record.number, now), 1),
+                "unheard": list(record.unheard),
+            }
+        return {"me": view.me, "acting": view.acting, "members": members, "counts": dict(view.counts)}
+
     def _write(self, shown: dict[int, tuple[str, int]]) -> None:
         if self._lines >= 0:
             members = {str(number): entry for number, entry in shown.items()}
--- a/hazelhollow/fleet/records.py
+++ b/hazelhollow/fleet/records.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+import socket
+from collections.abc import Iterator, Sequence
 from hashlib import blake2b
 from typing import NamedTuple
 
 JOINING, ALIVE, SHUT_OUT, SUSPECT, DEAD, LEFT = range(6)  # of one turn the later one holds
 NAMES = ("joining", "alive", "shut out", "suspect", "dead", "left")
 PRESENT = (JOINING, ALIVE, SHUT_OUT, SUSPECT)  # those that may answer
-BUCKETS = 16
+BUCKETS = 32
 SUM_RANGE = 36**5  # of a digest as it is sent
 
 
 class Record(NamedTuple):
     """`life`: when it began, and a random part; `turn` within the life, which the member alone raises; `unheard`: members
-    that it cannot hear though others can; `versions`: of what it acts on. The order of the fields is the rule's."""
+    that it cannot hear though others can; `versions`: of what it acts on; `address`: twelve hex digits, where the configuration
+    does not say it. The order of the fields is the rule's."""
 
     number: int
     life: int
@@ -23,6 +25,7 @@
     state: int
     unheard: tuple[int, ...] = ()
     versions: str = ""
+    address: str = ""
 
 
 def merge(one: Record, other: Record) -> Record:
@@ -30,6 +33,17 @@
     return max(one, other)
 
 
+def pack_address(host: str, port: int) -> str:
+    return socket.inet_aton(host).hex() + f"{port:04x}"
+
+
+def unpack_address(text: str) -> tuple[str, int]:
+    """Raises ValueError for what is none."""
+    if len(text) != 12:
+        raise ValueError(text)
+    return socket.inet_ntoa(bytes.fromhex(text[:8])), int(text[8:], 16)
+
+
 def fingerprint(record: Record) -> int:
     text = f"{record.number}.{record.life}.{record.turn}.{record.state}"
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
@@ -71,9 +85,13 @@
         """A number below 36**3 a bucket."""
         return [one % 36**3 for one in self._sums]
 
-    def of_buckets(self, buckets: Iterable[int]) -> list[Record]:
-        wanted = set(buckets)
-        return [record for record in self._records.values() if record.number % BUCKETS in wanted]
+    def of_buckets(self, buckets: Sequence[int]) -> list[Record]:
+        """Bucket by bucket, in the order in which they are given."""
+        found: dict[int, list[Record]] = {bucket: [] for bucket in buckets}
+        for record in self._records.values():
+            if record.number % BUCKETS in found:
+                found[record.number % BUCKETS].append(record)
+        return [record for records in found.values() for record in records]
 
     def present(self) -> list[int]:
         return [record.number for record in self._records.values() if record.state in PRESENT]
--- a/hazelhollow/fleet/view.py
+++ b/hazelhollow/fleet/view.py
@@ -13,7 +13,18 @@
 from typing import NamedTuple
 
 from hazelhollow.fleet import words
-from hazelhollow.fleet.records import ALIVE, DEAD, JOINING, LEFT, NAMES, PRESENT, SUSPECT, Record, Table
+from hazelhollow.fleet.records import (
+    ALIVE,
+    DEAD,
+    JOINING,
+    LEFT,
+    NAMES,
+    PRESENT,
+    SUSPECT,
+    Record,
+    Table,
+    unpack_address,
+)
 from hazelhollow.fleet.words import Message
 
 BEAT = 0.25  # seconds between probes
@@ -80,12 +91,14 @@
 class View:
     """`members`: how many there may be; this one is number `me`. `most`: bytes that a text may have."""
 
-    def __init__(self, me: int, members: int, now: float, seed: int, most: int = words.MOST_BYTES, versions: str = "") -> None:
+    def __init__(
+        self, me: int, members: int, now: float, seed: int, most: int = words.MOST_BYTES, versions: str = "", address: str = ""
+    ) -> None:
         self.me, self.members, self.most = me, members, most
         self.random = random.Random(seed)
         self.now = self.began = self.last_beat = now
         self.table = Table()
-        self.own = Record(me, new_life(now, self.random), 0, JOINING, (), versions)
+        self.own = Record(me, new_life(now, self.random), 0, JOINING, (), versions, address)
         self.table.put(self.own)
         self.since: dict[int, float] = {me: now}  # when each state was first seen here
         self.acting, self.waking = False, now  # whether it may take; since when it waits for a first answer
@@ -169,11 +182,22 @@
             self._compare(message)
         return self._out
 
-    def heard_twin(self, text: str) -> None:
-        """From this machine: a process with this one's number, or this one itself. The later start goes on."""
+    def heard_twin(self, text: str) -> bool:
+        """From this machine: whether it is of a process with this one's number, or of this one itself. The later start
+        goes on."""
         message = words.read(text, self.members)
-        if message and message.sender.number == self.me and message.sender.life > self.own.life:
+        if message is None or message.sender.number != self.me:
+            return False
+        if message.sender.life > self.own.life:
             self._yield()
+        return True
+
+    def introduced(self, text: str, source: tuple[str, int]) -> int | None:
+        """The number of a sender that says itself that this is its address."""
+        message = words.read(text, self.members)
+        if message is None or not message.sender.address or unpack_address(message.sender.address) != source:
+            return None
+        return message.sender.number if message.sender.number != self.me else None
 
     def own_word(self) -> str:
         """What says that this process is there."""
@@ -218,6 +242,7 @@
             state,
             tuple(sorted(self._unheard)[: words.MOST_UNHEARD]),
             self.own.versions if versions is None else versions,
+            self.own.address,
         )
         self._put(self.own)
 
@@ -461,8 +486,8 @@
     def _give(self, number: int, sums: tuple[int, ...]) -> None:
         """Records of the buckets in which the other's table is not as this one."""
         differ = [bucket for bucket, (one, other) in enumerate(zip(self.table.sums(), sums, strict=True)) if one != other]
+        self.random.shuffle(differ)  # whole buckets: parts of all would leave each to be sent again
         records = self.table.of_buckets(differ)
-        self.random.shuffle(records)
         for _ in range(PIECES):
             if not records:
                 return
@@ -473,7 +498,8 @@
     def _send(self, number: int, kind: str, parts: tuple[int, ...], first: list[Record] | None = None, rumours: bool = True) -> int:
         """One datagram; how many of the records in `first` it holds."""
         self._serial += 1
-        message = Message(kind, self.own, self._serial, self.table.digest(), parts)
+        own = self.own._replace(unheard=(), versions="") if kind == words.SUMS else self.own  # else they find no room
+        message = Message(kind, own, self._serial, self.table.digest(), parts)
         told = first or []
         suspect = self._suspects.get(number)
         told = [suspect[0], *told] if suspect and rumours else told
--- a/hazelhollow/fleet/words.py
+++ b/hazelhollow/fleet/words.py
@@ -12,7 +12,7 @@
 from functools import lru_cache
 from typing import NamedTuple
 
-from hazelhollow.fleet.records import BUCKETS, LEFT, SUM_RANGE, Record
+from hazelhollow.fleet.records import BUCKETS, LEFT, SUM_RANGE, Record, unpack_address
 from hazelhollow.gossip import base36
 
 DIALECT = "v1"
@@ -44,9 +44,11 @@
 def record_word(record: Record) -> str:
     """One record, with the space before it."""
     text = f" {base36(record.number)}.{base36(record.life)}.{base36(record.turn)}.{record.state}"
-    if record.unheard or record.versions:
+    if record.unheard or record.versions or record.address:
         text += "." + "-".join(base36(n) for n in record.unheard[:MOST_UNHEARD])
-    return text + (f".{record.versions}" if record.versions else "")
+    if record.versions or record.address:
+        text += f".{record.versions}"
+    return text + (f".{record.address}" if record.address else "")
 
 
 def write(message: Message, records: Sequence[Record], most: int = MOST_BYTES) -> tuple[str, int]:
@@ -94,7 +96,10 @@
 def _record(word: str, members: int) -> Record:
     number, life, turn, state, *rest = word.split(".")
     unheard = tuple(_number(n, members) for n in rest[0].split("-")) if rest and rest[0] else ()
-    versions = rest[1] if len(rest) > 1 else ""
-    if len(rest) > 2 or len(unheard) > MOST_UNHEARD or len(versions) > MOST_VERSIONS or (versions and not (versions.isascii() and versions.isalnum())):
+    versions, address = (*rest[1:], "", "")[:2]
+    plain = (versions + address).isascii() and (versions + address + "0").isalnum()
+    if len(rest) > 3 or len(unheard) > MOST_UNHEARD or len(versions) > MOST_VERSIONS or not plain:
         raise ValueError(word)
-    return Record(_number(number, members), _number(life, _MOST_LIFE), _number(turn, _MOST), _number(state, LEFT + 1), unheard, versions)
+    if address:
+        unpack_address(address)
+    return Record(_number(number, members), _number(life, _MOST_LIFE), _number(turn, _MOST), _number(state, LEFT + 1), unheard, versions, address)
--- a/hazelhollow/net/calls.py
+++ b/hazelhollow/net/calls.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 MOST_LINE = 256  # bytes of a call with its end of line
-VERBS = {"check": False, "vars": False, "set-down": True, "set-up": True}  # whether it takes a server's id
+VERBS = {"check": False, "vars": False, "set-down": True, "set-up": True, "fleet": False}  # whether it takes a server's id
 _ID = re.compile(r"[!-~]{1,128}")
 
 
@@ -46,6 +46,10 @@
         return bool(self._held) and self._call is None
 
 
+def unknown(verb: str) -> CallError:
+    return CallError(f"no call '{verb[:32]}'; calls: check, vars, set-down ID, set-up ID")
+
+
 def read(line: bytes) -> Call:
     """One line without its newline; a carriage return before it is allowed."""
     try:
@@ -57,7 +61,7 @@
         raise CallError("an empty line; calls: check, vars, set-down ID, set-up ID")
     verb, arguments = words[0].lower(), words[1:]
     if verb not in VERBS:
-        raise CallError(f"no call '{words[0][:32]}'; calls: check, vars, set-down ID, set-up ID")
+        raise unknown(words[0])
     if VERBS[verb]:
         if len(arguments) != 1 or not _ID.fullmatch(arguments[0]):
             raise CallError(f"{verb} takes one server id")
--- a/hazelhollow/net/operator.py
+++ b/hazelhollow/net/operator.py
@@ -27,6 +27,9 @@
 
     def ready(self) -> bool: ...
     def figures(self) -> dict[str, Any]: ...
+    def fleet(self) -> dict[str, Any] | None:
+        """The view of the fleet, where there is one."""
+
     def set_down(self, server: str) -> str | None:
         """None, or why it cannot be."""
 
@@ -39,6 +42,9 @@
         return b"done ready\n" if desk.ready() else b"error not ready yet\n"
     if call.verb == "vars":
         return orjson.dumps(desk.figures()) + b"\nend\n"
+    if call.verb == "fleet":
+        shown = desk.fleet()
+        return b"error %b\n" % str(calls.unknown("fleet")).encode() if shown is None else orjson.dumps(shown) + b"\nend\n"
     why = desk.set_down(call.server) if call.verb == "set-down" else desk.set_up(call.server)
     if why:
         return b"error %b\n" % why.encode()
--- a/hazelhollow/net/peers.py
+++ b/hazelhollow/net/peers.py
@@ -25,24 +25,36 @@
         heard: Callable[[int, str], None],
     ) -> None:
         self._scheduler, self._stats, self.heard = scheduler, stats, heard
-        self._peers = list(peers)
+        self._peers = dict(enumerate(peers))
         self._numbers = {address: number for number, address in enumerate(peers)}
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # a new version beside this one
         self._sock.bind(listen)
         self.address: tuple[str, int] = self._sock.getsockname()
-        self.own: Callable[[str], None] | None = None  # gets what another process of this machine sends here
+        # Gets what comes from an address that is no peer's, and says whether it was for this limiter.
+        self.stranger: Callable[[str, tuple[str, int]], bool] | None = None
+
+    def learn(self, number: int, address: tuple[str, int]) -> None:
+        """Where a peer is, at sites whose configuration does not list them."""
+        self._numbers.pop(self._peers.get(number, address), None)
+        self._peers[number], self._numbers[address] = address, number
+
+    def knows(self, number: int) -> bool:
+        return number in self._peers
 
     def tell(self, number: int, text: str) -> None:
         """Best effort, as datagrams are."""
+        self.send(self._peers.get(number), text)
+
+    def send(self, address: tuple[str, int] | None, text: str) -> None:
         data = text.encode()
-        if len(data) > MOST_BYTES or not 0 <= number < len(self._peers):
-            log.error("a message of %d bytes to peer %d was not sent", len(data), number)
+        if len(data) > MOST_BYTES or address is None:
+            log.error("a message of %d bytes to %s was not sent", len(data), address or "a peer whose address is not known")
             self._stats.untold += 1
             return
         try:
-            self._sock.sendto(data, self._peers[number])
+            self._sock.sendto(data, address)
             self._stats.told += 1
         except OSError:
             self._stats.untold += 1
@@ -64,10 +76,8 @@
         except UnicodeDecodeError:
             text = ""
         if number is None or not text or len(data) > MOST_BYTES:
-            if self.own and text and sender[0] == self.address[0] and len(data) <= MOST_BYTES:
-                self.own(text)
-                return
-            self._stats.junk += 1
+            ours = self.stranger and number is None and text and len(data) <= MOST_BYTES and self.stranger(text, sender)
+            self._stats.junk += not ours
             return
         self._stats.heard += 1
         self.heard(number, text)
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -40,6 +40,7 @@
     def begin(self, service: Service) -> None: ...
     def reload(self) -> None: ...
     def ready(self) -> bool: ...
+    def view(self) -> dict[str, Any] | None: ...
     def end(self) -> None: ...
 
 
@@ -214,6 +215,9 @@
         """As of now, from the start of this process."""
         return self._service.own_figures()
 
+    def fleet(self) -> dict[str, Any] | None:
+        return self._service.attached.view() if self._service.attached else None
+
     def set_down(self, server: str) -> str | None:
         return self._set(server, True)
 
--- a/hazelhollow/operator/attach.py
+++ b/hazelhollow/operator/attach.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
 
 import structlog
 
 from hazelhollow import interface as api
 from hazelhollow.fleet.driver import Driver as FleetDriver
 from hazelhollow.fleet.driver import budget
+from hazelhollow.fleet.records import pack_address
 from hazelhollow.fleet.seal import Seal, read_keys
 from hazelhollow.fleet.view import View
 from hazelhollow.gossip import base36
@@ -65,9 +67,14 @@
         if peers is None or not settings.peers or settings.gateways < 2:
             log.warning("no view of the fleet: the configuration allows no datagrams between limiters, or there is one alone")
             return
-        view = View(settings.me, settings.gateways, service.scheduler.clock(), self._seed, budget(self.seal))
+        listed = peers.knows(1 - min(settings.me, 1))  # then those addresses are the only way used
+        seeds = () if listed else tuple(seed for seed in terms.seeds if seed != peers.address)
+        address = pack_address(*peers.address) if terms.seeds and not listed else ""
+        view = View(settings.me, settings.gateways, service.scheduler.clock(), self._seed, budget(self.seal), address=address)
         lines = Path(terms.view_file) if terms.view_file else None
-        self.fleet = FleetDriver(service.scheduler, peers, view, self.seal, service.limiter.fleet, service.leave, lines)
+        self.fleet = FleetDriver(
+            service.scheduler, peers, view, self.seal, service.limiter.fleet, service.leave, lines, seeds or ((peers.address,) if address else ())
+        )
         service.stats.view = view.counts
         self.fleet.start()
 
@@ -75,6 +82,10 @@
         """Whether it may be given work: as a member that the others know."""
         return self.fleet is None or self.fleet.view.acting
 
+    def view(self) -> dict[str, Any] | None:
+        """What `call fleet` answers."""
+        return self.fleet.document() if self.fleet else None
+
     def end(self) -> None:
         """The limiter has answered all and ends."""
         if self.fleet:
--- a/hazelhollow/operator/load.py
+++ b/hazelhollow/operator/load.py
@@ -70,14 +70,23 @@
     if path in _TIMES:
         return seconds(str(value))
     if path == "store.address":
-        host, _, port = str(value).rpartition(":")
-        return host, int(port)
+        return _address(str(value))
+    if path == "fleet.seeds" and isinstance(value, list):
+        return [_address(str(seed)) for seed in value]
     return value
 
 
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
 def _across(value: dict[str, Any], places: dict[str, Place]) -> list[Trouble]:
     """What no field shows by itself."""
     store, found = value.get("store"), list[tuple[str, str, str]]()
+    for seed in (value.get("fleet") or {}).get("seeds", []):
+        if not 0 < _address(seed)[1] < 65536:
+            found.append(("fleet.seeds", seed, "ports 1 to 65535"))
     if store:
         lease, presence = store["lease"], store["presence"]
         port = int(store["address"].rpartition(":")[2])
--- a/hazelhollow/operator/records.py
+++ b/hazelhollow/operator/records.py
@@ -61,6 +61,7 @@
 class Fleet(Record, frozen=True):
     """Paths; empty where there is none."""
 
+    seeds: tuple[tuple[str, int], ...] = ()
     keys_file: str = ""
     view_file: str = ""
 
--- a/hazelhollow/operator/schema.cue
+++ b/hazelhollow/operator/schema.cue
@@ -8,8 +8,10 @@
 	fleet?: #Fleet
 }
 
-// The view of the fleet that the limiters keep themselves; its members are the configuration's `peers`.
+// The view of the fleet that the limiters keep themselves; its members are the configuration's `peers`. Where it lists none,
+// they find each other by `seeds`: addresses of some, which must be up for others to join.
 #Fleet: {
+	seeds: [...#Address]
 	keys_file?: string // keys, one a line, of the hash that the view's datagrams end with; the first one seals
 	view_file?: string // gets a JSON line whenever the view changes
 }
--- a/hazelhollow/rig/commands.py
+++ b/hazelhollow/rig/commands.py
@@ -91,7 +91,7 @@
 def _table(found: dict[str, Any]) -> None:
     click.echo(f"{'name':<5} {'pid':>8} {'state':<8} {'starts':>6} {'ready':<6} its view of the others")
     for row in found["processes"]:
-        seen = " ".join(f"n{number}:{entry[0]}" for number, entry in sorted(row.get("view", {}).items(), key=lambda i: int(i[0])))
+        seen = " ".join(f"n{number}:{entry['state']}" for number, entry in sorted(row.get("view", {}).items(), key=lambda i: int(i[0])))
         ready = {True: "yes", False: "no", None: ""}[row.get("ready")]
         click.echo(f"{row['name']:<5} {row['pid'] or '':>8} {row['state']:<8} {row['starts']:>6} {ready:<6} {seen}")
     for link in found["links"]:
--- a/hazelhollow/rig/control.py
+++ b/hazelhollow/rig/control.py
@@ -139,6 +139,12 @@
             crew.signal(name, {"kill": signal.SIGKILL, "pause": signal.SIGSTOP, "resume": signal.SIGCONT}[verb])
         return f"{verb} {name}"
 
+    def _view(self, name: str) -> dict[str, Any]:
+        """What a limiter says of the others: by number, the state and for how long; nothing where it keeps no view."""
+        first, _, _ = self.world.call(name, "fleet").partition(b"\n")
+        members: dict[str, Any] = orjson.loads(first)["members"] if first.startswith(b"{") else {}
+        return members
+
     def status(self) -> dict[str, Any]:
         """What runs, what each limiter says of itself and of the others, and which links are not whole."""
         found: dict[str, Any] = {"processes": [], "links": []}
@@ -148,9 +154,7 @@
             if name in self.world.names and state == "running":
                 row["ready"] = self.world.call(name, "check").startswith(b"done")
                 row["address"] = ":".join(map(str, self.world.door(name)))
-            view = last_view(self.folder / f"{name}.view.jsonl")
-            if view and state == "running":
-                row["view"] = view
+                row["view"] = self._view(name)
             found["processes"].append(row)
         for (a, b), link in sorted(self.world.relay.links.items()):
             if link.faults:
@@ -158,21 +162,6 @@
         return found
 
 
-def last_view(path: Path) -> dict[str, Any] | None:
-    """The last whole line of a limiter's views."""
-    try:
-        lines = path.read_bytes().split(b"\n")
-    except OSError:
-        return None
-    for line in reversed(lines[:-1]):
-        try:
-            members: dict[str, Any] = orjson.loads(line)["members"]
-            return members
-        except (orjson.JSONDecodeError, KeyError):
-            continue
-    return None
-
-
 def command(folder: Path, **words: Any) -> Any:
     """Asks the supervisor whose file is in that folder. Raises CommandError."""
     try:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -66,10 +66,8 @@
 class Fleet:
     """A world whose scheduler is turned by the test."""
 
-    def __init__(self, folder: Path, instances: int) -> None:
-        folder.mkdir()
-        self.folder, self.scheduler = folder, sch.Scheduler(sch.Clock())
-        self.world = World(self.scheduler, plan.Plan(name="x", instances=instances, hosts=1), folder, operator=view_file)
+    def __init__(self, world: World) -> None:
+        self.folder, self.scheduler, self.world = world.folder, world.scheduler, world
         self.scheduler.spawn(self._start)
         self.up = False
         self.until(lambda: self.up)
@@ -98,7 +96,9 @@
 
 @pytest.fixture
 def fleet(tmp_path: Path) -> Any:
-    one = Fleet(tmp_path / "fleet", 3)
+    (tmp_path / "fleet").mkdir()
+    three = plan.Plan(name="x", instances=3, hosts=1)
+    one = Fleet(World(sch.Scheduler(sch.Clock()), three, tmp_path / "fleet", operator=view_file))
     yield one
     one.world.close()
 
@@ -151,3 +151,30 @@
 
     fleet.until(counted)
     assert fleet.view("n0") == before
+
+
+class Seeded(World):
+    """Its limiters are told of no peers: each knows the address of n0 alone."""
+
+    def config(self, number: int) -> dict[str, Any]:
+        return super().config(number) | {"peers": []}
+
+
+def test_members_without_a_list_of_peers_find_each_other_by_a_seed_that_may_die_later(tmp_path: Path) -> None:
+    def seeded(name: str, home: Path) -> str:
+        """Its own configuration, which stands there already, says in which net they are."""
+        net = json.loads((home / "config.json").read_text())["peer_listen"].rpartition(".")[0]
+        return view_file(name, home) + f'fleet: seeds: ["{net}.1:7946"]\n'
+
+    (tmp_path / "seeded").mkdir()
+    world = Seeded(sch.Scheduler(sch.Clock()), plan.Plan(name="x", instances=3, hosts=1), tmp_path / "seeded", operator=seeded)
+    fleet = Fleet(world)
+    try:
+        fleet.until(fleet.whole)
+        world.crew.kill("n0")
+        fleet.until(lambda: {fleet.view(n)["0"][0] for n in ("n1", "n2")} == {"dead"})
+        assert fleet.view("n1")["2"][0] == "alive"
+        world.crew.start("n0")
+        fleet.until(fleet.whole)
+    finally:
+        world.close()
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -14,7 +14,18 @@
 from hazelhollow.bench.fleet import Sim
 from hazelhollow.decide import Gateway
 from hazelhollow.fleet import seal, view, words
-from hazelhollow.fleet.records import ALIVE, DEAD, LEFT, SUSPECT, Record, Table, merge
+from hazelhollow.fleet.records import (
+    ALIVE,
+    BUCKETS,
+    DEAD,
+    LEFT,
+    SUSPECT,
+    Record,
+    Table,
+    merge,
+    pack_address,
+    unpack_address,
+)
 from tests.scenario import SETTINGS
 from tests.test_gateway import ask, entry, only, servers
 
@@ -27,6 +38,7 @@
     st.integers(0, LEFT),
     st.lists(st.integers(0, MEMBERS - 1), max_size=words.MOST_UNHEARD).map(tuple),
     st.text("abc0189", max_size=words.MOST_VERSIONS),
+    st.sampled_from(["", pack_address("127.0.0.9", 7946)]),
 )
 of_one = records.map(lambda record: record._replace(number=3))
 
@@ -61,7 +73,7 @@
     other.put(more)
     known = (before and before[:4]) == (other.get(more.number) or more)[:4]
     differ = [n for n, (a, b) in enumerate(zip(one.sums(), other.sums(), strict=True)) if a != b]
-    assert differ == ([] if known else [more.number % 16])
+    assert differ == ([] if known else [more.number % BUCKETS])
 
 
 # Words
@@ -76,18 +88,20 @@
 def test_what_is_written_reads_as_it_was_and_fits(
     kind: tuple[str, list[int]], sender: Record, serial: int, digest: int, told: list[Record]
 ) -> None:
+    sender = sender._replace(unheard=(), versions="") if kind[0] == words.SUMS else sender  # as the view does
     message = words.Message(kind[0], sender, serial, digest, tuple(kind[1]))
     text, taken = words.write(message, told)
     assert len(text) <= words.MOST_BYTES
     assert words.read(text, MEMBERS) == message._replace(records=tuple(told[:taken]))
 
 
+LONG = words.write(words.Message(words.PING, Record(3, 9**9, 2, ALIVE), 7, 99, (5,)), [Record(4, 8**9, 1, DEAD)] * 20, 999)[0]
 SOUND = words.write(words.Message(words.ASK, Record(3, 9**9, 2, ALIVE), 7, 99, (5, 4)), [Record(4, 8**9, 1, DEAD)])[0]
 
 
 @pytest.mark.parametrize(
     "text",
-    ["", "v", "h123", "v2" + SOUND[2:], SOUND + " ", SOUND + "x" * 300, SOUND.replace("/", " "), SOUND.upper(),
+    ["", "v", "h123", LONG, "v2" + SOUND[2:], SOUND + " ", SOUND + "x" * 300, SOUND.replace("/", " "), SOUND.upper(),
      "v1x 3.1.1.1/1/1 ", "v1p 3.1.1.9/1/1 1", "v1p zz.1.1.1/1/1 1", "v1q 3.1.1.1/1/1 1", "v1q 3.1.1.1/1/1 1-zz",
      "v1p 3.1.1.1/1/1 -1", "v1p 3.1.1.1/1/1 1 4.1.1", "v1p 3.1.1.1/1/1 1 4.1.1.1.2.a.b", "v1p 3.1.1.1/1/1 1 4.1.1.1..\u0661"],
 )  # fmt: skip
@@ -111,7 +125,7 @@
 
 
 @pytest.mark.parametrize(
-    "text", [SOUND, seal.Seal([OTHER]).close(SOUND), seal.Seal([OLD]).close(SOUND)[:-1], seal.Seal([OLD]).close(SOUND).replace("v1q", "v1p"), "", "~"]
+    "text", [SOUND, seal.Seal([OTHER]).close(SOUND), seal.Seal([OLD]).close(SOUND)[:-1], seal.Seal([OLD]).close(SOUND).replace("v1q", "v1p"), "", "~", SOUND + " ~" + "\xe9" * 16]
 )
 def test_a_seal_refuses_what_no_key_made(text: str) -> None:
     assert seal.Seal([OLD, NEW]).open(text) is None
@@ -185,6 +199,22 @@
     assert one.yielded and not one.acting and one.beat(1000.3) == []
 
 
+def test_a_twin_of_this_machine_that_began_later_goes_on_and_this_one_itself_is_no_twin() -> None:
+    one, twin = alone(), alone(now=1001.0)
+    assert one.heard_twin(one.own_word()) and twin.heard_twin(one.own_word())
+    assert not one.yielded and not twin.yielded
+    assert one.heard_twin(twin.own_word()) and one.yielded and not twin.heard_twin(from_peer(PEER))
+
+
+def test_one_that_says_where_it_is_is_known_by_that_alone() -> None:
+    address = pack_address("127.0.0.9", 7946)
+    text = from_peer(PEER._replace(address=address))
+    assert unpack_address(address) == ("127.0.0.9", 7946)
+    assert alone().introduced(text, ("127.0.0.9", 7946)) == 1
+    assert alone().introduced(text, ("127.0.0.9", 7947)) is None and alone().introduced(from_peer(PEER), ("127.0.0.9", 7946)) is None
+    assert alone(me=1).introduced(text, ("127.0.0.9", 7946)) is None
+
+
 def test_one_whose_clock_was_set_back_goes_past_its_earlier_life_but_only_while_it_joins_and_once() -> None:
     one = alone()
     later = one.own.life + 10**9
@@ -344,6 +374,18 @@
     assert sim.members[2].view.counts["life_raised"] == 1
 
 
+def test_what_rumours_missed_is_found_by_digests() -> None:
+    sim = Sim(7, 1)
+    for number in range(6):
+        sim.start(number)
+    assert sim.settle(longest=10.0) is not None
+    sim.run(10.0)
+    missed = Record(6, 36**8, 3, LEFT)
+    sim.members[0].view.table.put(missed)  # as if the rumour of it had died out before it came to anybody
+    sim.run(5.0)
+    assert {one.view.table.get(6) for one in sim.members.values()} == {missed}
+
+
 def test_loss_kills_nobody_and_messages_do_not_grow_with_the_fleet() -> None:
     rates = []
     for members in (8, 48):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -369,6 +369,11 @@
     one = started_fleet(folder)
     pids = [int(line.split()[0]) for line in (folder / "pids").read_text().splitlines()]
     assert len(pids) == 3 and all(alive(pid) for pid in pids)
+    def views() -> list[dict[str, str]]:
+        found = control.command(folder, do="status")["processes"]
+        return [{n: entry["state"] for n, entry in row["view"].items()} for row in found if "view" in row]
+
+    wait_until(lambda: views() == [{"0": "alive", "1": "alive"}] * 2, one)
     with pytest.raises(control.CommandError, match="no process 'n7'"):
         control.command(folder, do="kill", name="n7")
     control.command(folder, do="cut", a="n0", b="n1", one_way=True)
@@ -388,14 +393,52 @@
     assert not any(alive(pid) for pid in pids) and not folder.exists()
 
 
-def test_nothing_is_left_when_the_supervisor_itself_is_killed(tmp_path: Path) -> None:
+def test_another_than_the_owner_of_the_token_is_refused(tmp_path: Path) -> None:
+    folder, other = tmp_path / "fleet", tmp_path / "other"
+    one = started_fleet(folder)
+    told = json.loads((folder / control.FILE).read_text())
+    other.mkdir()
+    (other / control.FILE).write_text(json.dumps(told | {"token": "0" * 32}))
+    with pytest.raises(control.CommandError, match="not the token"):
+        control.command(other, do="down")
+    with pytest.raises(control.CommandError, match="no fleet is up"):
+        control.command(tmp_path, do="down")
+    one.send_signal(signal.SIGTERM)
+    assert one.wait() == 0 and not folder.exists()
+
+
+def janitor_of(folder: Path) -> int:
+    for path in Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            words = path.read_bytes().split(b"\0")
+        except OSError:
+            continue
+        if b"hazelhollow.rig.janitor" in words and str(folder).encode() in words:
+            return int(path.parent.name)
+    raise AssertionError("no janitor")
+
+
+@pytest.mark.parametrize("janitor_too", [False, True])
+def test_nothing_is_left_when_the_supervisor_itself_is_killed(tmp_path: Path, janitor_too: bool) -> None:
     folder = tmp_path / "fleet"
     one = started_fleet(folder)
     pids = [int(line.split()[0]) for line in (folder / "pids").read_text().splitlines()]
     os.kill(pids[1], signal.SIGSTOP)  # one that stands still must go too
+    if janitor_too:
+        os.kill(janitor_of(folder), signal.SIGKILL)
     one.kill()
     one.wait()
-    wait_until(lambda: not any(alive(pid) for pid in pids) and not folder.exists(), one)
+    wait_until(lambda: not any(alive(pid) for pid in pids) and folder.exists() == janitor_too, one)
+
+
+def test_the_janitor_ends_what_the_book_names_and_leaves_a_number_that_is_another_process_now(tmp_path: Path) -> None:
+    both = [subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE) for _ in range(2)]
+    lines = [f"{both[0].pid} {janitor.started(both[0].pid)}", f"{both[1].pid} 12345", "half a li", ""]
+    (tmp_path / "pids").write_text("\n".join(lines))
+    assert janitor.sweep(tmp_path) == [both[0].pid]
+    assert both[0].wait() == -signal.SIGKILL and both[1].poll() is None
+    both[1].kill()
+    both[1].wait()
 
 
 def test_a_drill_counts_what_two_parts_let_in_and_loses_nothing(tmp_path: Path) -> None:
