While parts cannot hear each other, each keeps to its members' even part of the quotas

Change: fleet/shares.py (no I/O) names members that cannot be heard and may let in: by gossip's silence where it comes at every beat, else by the view's suspicion. interface.Fleet.lost leaves them their even part of rate and level; one that comes back in another life had let in nothing and its part is credited; after 10 s the larger side takes over. Not where going over earns as much as it costs. A large set whose hubs are lost has others.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -113,8 +113,7 @@
         elif isinstance(event, api.Ban):
             self._ban(event)
         elif isinstance(event, api.Fleet):
-            self.acting = event.acting
-            self.away = frozenset(range(self.settings.gateways)).difference(event.present).union(event.deaf)
+            self.take_view(event, DIRECT, HUBS)
         return self.actions
 
     # Budgets
@@ -128,7 +127,8 @@
             level = min(plan.burst, (plan.burst if self.whole else part) + plan.rate * (self.now - self.born))
             account = self.accounts[key] = Account(plan, level, self.born, self.now, self.whole)
         if spread and (account.first, account.spread) != (first, spread):
-            account.place(first, spread, self.settings, int(key, 36), HUBS if large else 0)
+            account.place(first, spread, self.settings, int(key, 36), HUBS if large else 0, self.lost)
+            account.leave_to(self.lost, self.settings.gateways)
             if large and self.settings.me in account.hubs and not account.telling:
                 account.budget.level = plan.burst  # it hears what is used, and from the other hub what was
             account.share_ceiling(spread)  # shares sum to the second store, so each is safe alone
--- a/hazelhollow/fleet/driver.py
+++ b/hazelhollow/fleet/driver.py
@@ -7,6 +7,7 @@
 import random
 import socket
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -14,8 +15,9 @@
 
 from hazelhollow import interface as api
 from hazelhollow.fleet import view as views
-from hazelhollow.fleet.records import NAMES, unpack_address
+from hazelhollow.fleet.records import DEAD, LEFT, NAMES, SUSPECT, unpack_address
 from hazelhollow.fleet.seal import Seal
+from hazelhollow.fleet.shares import Shares
 from hazelhollow.fleet.words import DIALECT, MOST_BYTES
 from hazelhollow.net.peers import Peers
 from hazelhollow.net.scheduler import Scheduler
@@ -23,6 +25,7 @@
 
 MARK = DIALECT[0]  # what a datagram of the view begins with; the gossip's begin with another letter
 YOUNG, TWIN_EVERY = 3.0, 2.0  # seconds of life in which a twin is told at each beat; between tellings later
+TALKS = 8  # members of the largest fleet whose gossip comes at every beat
 TROUBLE_EVERY = 10.0  # seconds between lines about datagrams that were dropped
 
 log = logging.getLogger(__name__)
@@ -47,6 +50,7 @@
         self._told, self._yielded, self._seeds = told, yielded, tuple(seeds)
         self._lines = os.open(lines, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644) if lines else -1
         self._last: api.Fleet | None = None
+        self._shares = Shares(view.me, view.members, scheduler.clock(), view.members <= TALKS)
         self._gossip = peers.heard
         self._ended = False
         self._reported = 0
@@ -61,6 +65,7 @@
 
     def heard(self, sender: int, text: str) -> None:
         if not text.startswith(MARK):
+            self._shares.gossip(sender, self._scheduler.clock())
             self._gossip(sender, text)
             return
         plain = self._seal.open(text)
@@ -111,11 +116,13 @@
         now = self._scheduler.clock()
         self._scheduler.at(now + views.BEAT, self._beat)
         self._pass_on(self.view.beat(now))
+        self._tell()
         self._scheduler.at(now + self.view.wait(), self._due)
 
     def _due(self) -> None:
         if not self._ended:
             self._pass_on(self.view.due(self._scheduler.clock()))
+            self._tell()
 
     def _report(self) -> None:
         """Datagrams that were dropped, said within a bound."""
@@ -149,13 +156,7 @@
 
     def _changed(self) -> None:
         view = self.view
-        event = api.Fleet(view.acting, tuple(view.present()), tuple(view.unheard()), tuple(view.deaf()))
-        acts = self._last is None or event.acting != self._last.acting
-        if event != self._last:
-            if self._last is not None and event.acting != self._last.acting:
-                log.warning("view: %s", "takes work again" if event.acting else "takes no new work until a peer has answered")
-            self._last = event
-            self._told(event)
+        acts = self._tell()
         moved, view.moved = view.moved, []
         if self._seeds:
             self._learn_addresses(moved)
@@ -169,6 +170,24 @@
             log.error("view: another process has number %d and began later; this one leaves", view.me)
             self._yielded()
 
+    def _tell(self) -> bool:
+        """The decision module, of what is new to it; whether this one has begun or ceased to act."""
+        view, now, lives = self.view, self._scheduler.clock(), dict[bool, dict[int, int]]()
+        for record in view.table:
+            if record.state != LEFT and record.number != view.me:
+                lives.setdefault(record.state in (SUSPECT, DEAD), {})[record.number] = record.life
+        unused = self._shares.look(lives.get(True, {}), lives.get(False, {}), now)
+        lost = tuple(sorted(self._shares.lost))
+        event = api.Fleet(view.acting, tuple(view.present()), tuple(view.unheard()), tuple(view.deaf()), lost, tuple(unused))
+        before, quiet = self._last, replace(event, unused=())
+        acts = before is None or event.acting != before.acting
+        if before is not None and acts:
+            log.warning("view: %s", "takes work again" if event.acting else "takes no new work until a peer has answered")
+        if quiet != before or event.unused:
+            self._last = quiet
+            self._told(event)
+        return acts
+
     def document(self) -> dict[str, Any]:
         """The view as operators see it: state, life, seconds in that state and whom it cannot hear, by number."""
         now, view, members = self._scheduler.clock(), self.view, {}
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -200,13 +200,16 @@
 
     `acting`: whether this one may take new work: not before it knows what the others hold of it. `present`: numbers of
     those that are up, this one among them; `unheard`: those of them that this one cannot hear; `deaf`: those that
-    cannot hear this one.
+    cannot hear this one. `lost`: those that cannot be heard and may go on letting in, so that their even part of each
+    quota is left to them; `unused`: members, and seconds of such a part that turned out to be nobody's.
     """
 
     acting: bool
     present: tuple[int, ...]
     unheard: tuple[int, ...] = ()
     deaf: tuple[int, ...] = ()
+    lost: tuple[int, ...] = ()
+    unused: tuple[tuple[int, float], ...] = ()
 
 
 Event = Union[
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -160,12 +160,35 @@
         """What of the requests that peers said they had open will not have ended since."""
         return sum([count * math.exp((at - now) / stay) for at, count in self.theirs.values()])
 
-    def place(self, first: int, spread: int, told: api.Settings, number: int, hubs: int) -> None:
-        """The set, and those of it that hear every charge: all, or in a large one so many hubs."""
+    def place(
+        self, first: int, spread: int, told: api.Settings, number: int, hubs: int, lost: frozenset[int] = frozenset()
+    ) -> None:
+        """The set, and those of it that hear every charge: all, or in a large one so many hubs that can be heard."""
         self.first, self.spread = first, spread
         start, step = (number % spread, spread // hubs) if hubs else (0, 1)
         places = range(start, start + step * (hubs or spread), step)
         self.hubs = [(first + place % spread) % told.gateways for place in places] if told.peers else []
+        if hubs and lost.intersection(self.hubs):
+            heard = [n for n in self.members(told.gateways) if n not in lost]
+            self.hubs = [heard[(number + place) % len(heard)] for place in range(min(hubs, len(heard)))]
+
+    def members(self, gateways: int) -> list[int]:
+        return [(self.first + place) % gateways for place in range(self.spread)]
+
+    def leave_to(self, lost: frozenset[int], gateways: int) -> None:
+        """The even part of those that cannot be heard is theirs, of the rate and of what has come in; what comes back with
+        them is not more than what has been kept here. Not where going over earns more than it costs."""
+        lost = lost if self.plan.over_cost > self.plan.over_worth else frozenset()
+        part = 1.0 - len(lost.intersection(self.members(gateways))) / max(self.spread, 1) if lost else 1.0
+        rate = self.plan.rate * part
+        if rate < self.budget.rate and self.budget.level > 0:
+            self.budget.level *= rate / self.budget.rate
+        self.budget.rate, self.budget.most = rate, self.plan.burst * part
+
+    def share_of(self, unused: tuple[tuple[int, float], ...], gateways: int) -> float:
+        """Units of this customer in those seconds of members' parts."""
+        members = self.members(gateways) if unused else []
+        return sum(self.plan.rate * seconds / self.spread for number, seconds in unused if number in members)
 
     def share_ceiling(self, spread: int) -> None:
         self.ceiling.rate, self.ceiling.most = self.plan.ceiling_rate / spread, self.plan.ceiling_burst / spread
@@ -279,6 +302,7 @@
         self.near_until = 0.0
         self.held: dict[str, Held] = {}
         self.acting, self.away = True, frozenset[int]()  # by the fleet's view: whether to take new work; whom not to tell
+        self.lost = frozenset[int]()  # by the same: who cannot be heard and may let in
         self.banned: set[str] = set()  # servers left out by hand
         self.back: dict[str, float] = {}  # servers put back by hand, and when: they start cold then
         self.dirty: dict[int, dict[tuple[str, int], str]] = {}  # by whom to tell: customer, period, word
@@ -318,6 +342,18 @@
         if self.held[request].ended and not self.held[request].out():
             self.held.pop(request).account.open -= 1
 
+    def take_view(self, event: api.Fleet, direct: int, hubs: int) -> None:
+        """`direct`: members of the largest set without hubs; `hubs`: of a larger one."""
+        self.acting, lost, gateways = event.acting, frozenset(event.lost), self.settings.gateways
+        self.away = frozenset(range(gateways)).difference(event.present).union(event.deaf)
+        changed, self.lost = lost != self.lost, lost
+        for key, account in self.accounts.items() if changed or event.unused else ():
+            account.budget.fill(self.now)
+            if account.spread > direct:
+                account.place(account.first, account.spread, self.settings, int(key, 36), hubs, lost)
+            account.leave_to(lost, gateways)
+            account.budget.level += account.share_of(event.unused, gateways)
+
     def mean_units(self) -> float:
         return sum(self.units.values()) / len(self.units)
 
--- /dev/null
+++ b/tests/test_fleet_shares.py
@@ -0,0 +1,153 @@
+"""Whose part of the quotas is out of reach, and what the decision module does with that."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hazelhollow import interface as api
+from hazelhollow.decide import Gateway
+from hazelhollow.fleet.shares import PATIENCE, QUIET, Shares
+from tests.scenario import PLAN, SETTINGS
+from tests.test_gateway import ask, entry, servers
+
+LIVES = {1: 11, 2: 12, 3: 13, 4: 14}
+
+
+def told(talks: bool = True) -> Shares:
+    one = Shares(0, 5, 100.0, talks)
+    one.look({}, LIVES, 100.0)
+    return one
+
+
+def hears(one: Shares, now: float, *numbers: int) -> None:
+    for number in numbers:
+        one.gossip(number, now)
+
+
+def test_silence_takes_a_part_out_of_reach_where_gossip_comes_at_every_beat_and_only_there() -> None:
+    for talks, lost in ((True, {2, 3, 4}), (False, set())):
+        one = told(talks)
+        hears(one, 100.0 + QUIET, 1)
+        assert one.look({}, LIVES, 100.0 + QUIET + 0.1) == [] and one.lost == lost
+
+
+def test_a_suspect_keeps_its_part_and_one_that_left_does_not() -> None:
+    one = told(talks=False)
+    assert one.look({3: 13}, {n: life for n, life in LIVES.items() if n != 3}, 101.0) == [] and one.lost == {3}
+    assert one.look({}, {n: life for n, life in LIVES.items() if n != 3}, 102.0) == [] and one.lost == set()
+
+
+@pytest.mark.parametrize(("life", "unused"), [(13, []), (99, [(3, 4.0)])])
+def test_what_one_that_died_did_not_use_is_given_back_and_of_one_that_was_cut_off_nothing(life: int, unused: list[tuple[int, float]]) -> None:
+    one = told(talks=False)
+    others = {n: born for n, born in LIVES.items() if n != 3}
+    one.look({3: 13}, others, 101.0)
+    assert one.look({}, others | {3: life}, 105.0) == unused and one.lost == set()
+
+
+def test_the_larger_side_takes_over_in_time_and_the_smaller_never() -> None:
+    for gone, taken in ({3}, True), ({2, 3}, True), ({2, 3, 4}, False), ({1, 2, 3, 4}, False):
+        one = told(talks=False)
+        away, others = {n: LIVES[n] for n in gone}, {n: life for n, life in LIVES.items() if n not in gone}
+        one.look(away, others, 101.0)
+        one.look(away, others, 101.0 + PATIENCE - 0.1)
+        assert one.lost == gone
+        one.look(away, others, 101.0 + PATIENCE)
+        assert one.lost == (set() if taken else gone)
+
+
+def test_a_member_that_starts_in_a_part_leaves_the_others_theirs() -> None:
+    one = Shares(0, 5, 100.0, talks=False)
+    one.look({2: 12, 3: 13, 4: 0}, {1: 11}, 100.0)  # 4 has never been seen: nobody keeps a part for it
+    assert one.lost == {2, 3}
+
+
+# The decision module
+
+KEEPS = replace(PLAN, name="keeps", rate=20.0, burst=40.0, over_cost=1.0)
+GOES_ON = replace(KEEPS, name="goes on", over_cost=0.5, over_worth=0.5)
+
+
+def gateway(gateways: int = 5, me: int = 0) -> Gateway:
+    settings = replace(SETTINGS, me=me, gateways=gateways, plans=(KEEPS, GOES_ON), messages_in_per_s=1000.0)
+    one = Gateway(settings, seed=me)
+    one.handle(servers("full", *(entry(f"s{n}") for n in range(6))), 1000.0)
+    return one
+
+
+def view(lost: tuple[int, ...] = (), unused: tuple[tuple[int, float], ...] = (), gateways: int = 5) -> api.Fleet:
+    return api.Fleet(True, tuple(n for n in range(gateways) if n not in lost), lost=lost, unused=unused)
+
+
+def let_in(one: Gateway, begin: float, seconds: float, plan: str = "keeps", spread: int = 5) -> int:
+    """Of 40 tries a second, each answered at once."""
+    served = 0
+    for turn in range(int(seconds * 40)):
+        now = begin + turn / 40
+        for action in ask(one, now, "look", plan_name=plan, spread=spread):
+            if isinstance(action, api.Send):
+                served += 1
+                one.handle(api.Outcome(action.id, 0, action.server, "ok", 0.01, True), now + 0.01)
+    return served
+
+
+@pytest.mark.parametrize(("plan", "most"), [("keeps", 0.4), ("goes on", 1.0)])
+def test_a_side_of_a_cut_keeps_to_its_part_where_going_over_costs_more_than_it_earns(plan: str, most: float) -> None:
+    one = gateway()
+    let_in(one, 1000.1, 4.0, plan)  # the burst is gone
+    one.handle(view(lost=(2, 3, 4)), 1004.2)
+    served = let_in(one, 1004.2, 10.0, plan)
+    assert served == pytest.approx(most * 200, abs=4)
+    one.handle(view(), 1014.3)
+    assert let_in(one, 1014.3, 10.0, plan) == pytest.approx(200, abs=4)
+
+
+def test_what_had_come_in_is_shared_too_and_comes_back_with_time_alone() -> None:
+    one = gateway()
+    let_in(one, 1000.1, 0.05)
+    account = next(iter(one.accounts.values()))
+    account.budget.level = 40.0
+    one.handle(view(lost=(1, 2)), 1001.0)
+    assert account.budget.level == pytest.approx(24.0) and account.budget.most == 24.0
+    one.handle(view(), 1001.0)
+    assert account.budget.level == pytest.approx(24.0) and account.budget.most == 40.0
+
+
+def test_what_nobody_used_is_credited_to_those_that_the_customer_comes_through() -> None:
+    one = gateway()
+    let_in(one, 1000.1, 4.0)
+    account = next(iter(one.accounts.values()))
+    account.budget.level = 0.0
+    one.handle(view(unused=((1, 2.0),)), account.budget.at)
+    assert account.budget.level == pytest.approx(20.0 / 5 * 2.0)
+    account.first, account.spread = 0, 1
+    one.handle(view(unused=((1, 2.0),)), account.budget.at)
+    assert account.budget.level == pytest.approx(8.0)
+
+
+def test_a_large_set_whose_hubs_cannot_be_heard_has_others() -> None:
+    one = gateway(gateways=12)
+    ask(one, 1000.1, "look", plan_name="keeps", spread=12)
+    account = next(iter(one.accounts.values()))
+    before = list(account.hubs)
+    one.handle(view(lost=tuple(before), gateways=12), 1000.2)
+    assert len(account.hubs) == 2 and not set(account.hubs) & set(before)
+    one.handle(view(gateways=12), 1000.3)
+    assert account.hubs == before
+
+
+@given(st.lists(st.integers(0, 3), min_size=2, max_size=8))
+def test_for_any_split_the_parts_together_let_in_no_more_than_the_quota(part_of: list[int]) -> None:
+    """All ask for more than there is and know of the cut. Within a part gossip shares its quota: one speaks for it."""
+    total, members = 0, len(part_of)
+    for part in set(part_of):
+        inside = [n for n in range(members) if part_of[n] == part]
+        one = gateway(members, inside[0])
+        one.handle(view(tuple(n for n in range(members) if n not in inside), gateways=members), 1000.05)
+        let_in(one, 1000.1, 3.0, spread=members)  # the burst is gone
+        total += let_in(one, 1003.1, 5.0, spread=members)
+    assert 0.9 * 100 - members <= total <= 100 + members  # a unit a part for where the five seconds begin
