--- a/hazelhollow/fleet/shares.py
+++ b/hazelhollow/fleet/shares.py
@@ -36,8 +36,8 @@
 
     def look(self, gone: dict[int, int], present: dict[int, int], now: float) -> list[tuple[int, float]]:
         """To be called at each beat of the view and when it changes. Lives by number, `gone`: of those that the view holds
-        suspect or dead, `present`: of those that it holds alive; who has left is in neither. Gives seconds of a member's part that nobody used: of one that
-        came back in another life, and of one whose part the larger side takes over."""
+        suspect or dead, `present`: of those that it holds alive; who has left is in neither. Gives seconds of a member's part that nobody used: it
+        came back in another life, before its part was taken over."""
         unused = list[tuple[int, float]]()
         for number, life in (gone | present).items():
             if number not in self.peers and number != self.me and life:
@@ -55,19 +55,14 @@
                 peer.lost, peer.taken = 0.0, False
             if not away:
                 peer.life = life
-        unused += self._take_over(now)
+        self._take_over(now)
         self.lost = frozenset(number for number, peer in self.peers.items() if peer.lost and not peer.taken)
         return unused
 
-    def _take_over(self, now: float) -> list[tuple[int, float]]:
+    def _take_over(self, now: float) -> None:
         """The larger side alone: both would take what the other uses. The smaller keeps to its own part."""
-        lost = [number for number, peer in self.peers.items() if peer.lost]
-        if 2 * (len(self.peers) + 1 - len(lost)) <= len(self.peers) + 1:
-            return []
-        found = []
-        for number in lost:
-            peer = self.peers[number]
-            if not peer.taken and now - peer.lost >= PATIENCE:
-                peer.taken = True
-                found.append((number, 0.0))
-        return found
+        lost = [peer for peer in self.peers.values() if peer.lost]
+        everybody = len(self.peers) + 1
+        if 2 * (everybody - len(lost)) > everybody:
+            for peer in lost:
+                peer.taken |= now - peer.lost >= PATIENCE
--- a/hazelhollow/rig/checker.py
+++ b/hazelhollow/rig/checker.py
@@ -265,10 +265,11 @@
         number = str(names.index(name))
         for begin, end in spans:
             seen = [
-                line["t"] - begin
+                line["t"] - begin  # one that was cut off before may have been suspected by then
                 for observer, lines in said.items()
-                for line in lines
-                if observer != name and begin <= line["t"] and line["members"].get(number, ["alive"])[0] in ("suspect", *DEAD)
+                for line, after in zip(lines, [*lines[1:], None], strict=True)
+                if observer != name and (after is None or after["t"] >= begin)
+                if line["members"].get(number, ["alive"])[0] in ("suspect", *DEAD)
             ]
             if end - begin > 3.0 and any(not faults.was_down(o, begin, begin + 3.0) for o in names if o != name):
                 worst = max(worst or 0.0, min(seen, default=float("inf")))
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -60,6 +60,13 @@
         assert one.lost == (set() if taken else gone)
 
 
+def test_a_part_that_was_taken_over_is_not_credited_too() -> None:
+    one, others = told(talks=False), {n: born for n, born in LIVES.items() if n != 3}
+    for now in (101.0, 101.0 + PATIENCE):
+        one.look({3: 13}, others, now)
+    assert one.look({}, others | {3: 99}, 120.0) == [] and one.lost == set()
+
+
 def test_a_member_that_starts_in_a_part_leaves_the_others_theirs() -> None:
     one = Shares(0, 5, 100.0, talks=False)
     one.look({2: 12, 3: 13, 4: 0}, {1: 11}, 100.0)  # 4 has never been seen: nobody keeps a part for it
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -338,6 +338,14 @@
     assert (found["views_differ"], found["false_deaths"], found["settled_s_p99"], found["suspected_s_max"]) == (0, 0, 2.5, 1.0)
 
 
+def test_one_that_was_suspected_before_it_died_was_not_suspected_late(tmp_path: Path) -> None:
+    gone = [{"what": "kill", "whom": ["n1"], "t": 103.0, "on": True}]
+    lines = [seen(99, n0="alive", n1="alive"), seen(101, n0="alive", n1="suspect"), seen(102.5, n0="alive", n1="dead"), seen(109, n0="alive", n1="left")]
+    assert played(tmp_path, n0_view=lines, n1_view=lines[:1], faults=gone)["suspected_s_max"] == 0.0
+    early = [seen(99, n0="alive", n1="alive"), seen(101, n0="alive", n1="suspect"), seen(102.5, n0="alive", n1="alive"), seen(104, n0="alive", n1="dead")]
+    assert played(tmp_path, n0_view=early, n1_view=early[:1], faults=gone)["suspected_s_max"] == 1.0
+
+
 # Real processes
 
 
