Where the view is kept a fleet that begins together begins with half a burst

Cause: all killed at once three times let in 44 units beyond the quota: those that meet others of the same moment take the whole burst as untouched (state.meet), each time anew. Nothing without a disk can know better.

Change: with the view on they begin with half of it (decide.TOGETHER_AGAIN); without it as before. Way not taken: none at all, which would cost a fleet's first seconds a whole burst. Tests end the fleets that they started when they fail.

--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -18,6 +18,7 @@
 PERIOD = 1.0  # seconds from one renewal of the budgets to the next
 FLUSHES = 15  # gossip rounds a period
 INTAKE_SHARE = 0.8  # of the told intake of messages: what a gateway sends at most
+TOGETHER_AGAIN = 0.5  # of the burst, where the view is kept: those that began together may have been there
 DIRECT = 8  # the largest set whose members tell each other, and the largest fleet whose gateways tell loads
 HUBS = 2  # members of a larger set that sum its charges and tell the rest how much is spent
 BUSY = 0.6  # of its rate: a customer that uses less is not worth telling about
@@ -113,6 +114,7 @@
         elif isinstance(event, api.Ban):
             self._ban(event)
         elif isinstance(event, api.Fleet):
+            self.together = TOGETHER_AGAIN
             self.take_view(event, DIRECT, HUBS)
         return self.actions
 
@@ -124,7 +126,8 @@
             # A new gateway allows the burst divided by its gateways, and the rate since its start. In a large
             # set, whose hubs will tell when it is spent, one request at least, or the quiet would be refused.
             part = max(plan.burst / max(spread, 1), self.settings.max_units if large else 0.0)
-            level = min(plan.burst, (plan.burst if self.whole else part) + plan.rate * (self.now - self.born))
+            part += max(plan.burst - part, 0.0) * self.together if self.whole else 0.0
+            level = min(plan.burst, part + plan.rate * (self.now - self.born))
             account = self.accounts[key] = Account(plan, level, self.born, self.now, self.whole)
         if spread and (account.first, account.spread) != (first, spread):
             account.place(first, spread, self.settings, int(key, 36), HUBS if large else 0, self.lost)
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -318,6 +318,7 @@
         self.latest = ("", "")  # customer and key
         self.sized: dict[tuple[str, int], float] = {}  # by class and size: times what the class alone says
         self.leftover = self.wait = 0.0  # units; seconds that answers waited lately
+        self.together = 1.0  # the part of the burst that those that began together begin with
         self.born, self.whole = 0.0, False  # its start, and whether it is known that all others began then too
         self.now, self.period, self.flushed, self.life = 0.0, 0, 0, ""
         self.actions: list[api.Action] = []
@@ -386,7 +387,7 @@
         if len(apart) == self.settings.gateways - 1 and max(apart) <= together:
             self.whole = True
             for account in self.accounts.values():
-                account.budget.level += account.plan.burst * (1.0 - 1.0 / max(account.spread, 1))
+                account.budget.level += account.plan.burst * (1.0 - 1.0 / max(account.spread, 1)) * self.together
                 account.ceiling.level += account.ceiling.most or account.plan.ceiling_burst
 
     def latest_failed(self, count: int, span: float) -> list[tuple[str, int]]:
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hazelhollow import gossip
 from hazelhollow import interface as api
 from hazelhollow.decide import Gateway
 from hazelhollow.fleet.shares import PATIENCE, QUIET, Shares
@@ -124,6 +125,21 @@
     assert account.budget.level == pytest.approx(24.0) and account.budget.most == 40.0
 
 
+@pytest.mark.parametrize(("viewed", "level"), [(False, 40.0), (True, 8.0 + 0.5 * 32.0)])
+def test_a_fleet_that_began_together_begins_with_less_where_it_may_have_been_there_before(viewed: bool, level: float) -> None:
+    """All killed at once, again and again, would each time be a new burst."""
+    for before in (True, False):  # whether the account was there when the others were met
+        one = gateway()
+        if viewed:
+            one.handle(view(), 1000.01)
+        if before:
+            ask(one, 1000.02, "look", plan_name="keeps", spread=5, units=1e-6)
+        for peer in (1, 2, 3, 4):
+            one.handle(api.PeerMessage(peer, gossip.head(1000, 0.0, one.life)), 1000.03)
+        ask(one, 1000.04, "look", plan_name="keeps", spread=5, units=1e-6)
+        assert one.whole and next(iter(one.accounts.values())).budget.level == pytest.approx(level, abs=1.0)
+
+
 def test_what_nobody_used_is_credited_to_those_that_the_customer_comes_through() -> None:
     one = gateway()
     let_in(one, 1000.1, 4.0)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -353,6 +353,21 @@
     return janitor.started(pid) != "" and Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
 
 
+@pytest.fixture
+def start_fleet() -> Any:
+    """What a test that fails has left is ended."""
+    started: list[subprocess.Popen[bytes]] = []
+
+    def start(folder: Path) -> subprocess.Popen[bytes]:
+        started.append(started_fleet(folder))
+        return started[-1]
+
+    yield start
+    for one in started:
+        one.kill()
+        one.wait()
+
+
 def started_fleet(folder: Path) -> subprocess.Popen[bytes]:
     words = [sys.executable, "-m", "hazelhollow", "fleet", "up", "--instances", "2", "--hosts", "1", "--state", str(folder)]
     one = subprocess.Popen(words, stdout=subprocess.PIPE)
@@ -372,9 +387,9 @@
     raise AssertionError("not met")
 
 
-def test_a_fleet_is_broken_by_hand_and_nothing_is_left_after_down(tmp_path: Path) -> None:
+def test_a_fleet_is_broken_by_hand_and_nothing_is_left_after_down(tmp_path: Path, start_fleet: Callable[[Path], subprocess.Popen[bytes]]) -> None:
     folder = tmp_path / "fleet"
-    one = started_fleet(folder)
+    one = start_fleet(folder)
     pids = [int(line.split()[0]) for line in (folder / "pids").read_text().splitlines()]
     assert len(pids) == 3 and all(alive(pid) for pid in pids)
     def views() -> list[dict[str, str]]:
@@ -401,9 +416,9 @@
     assert not any(alive(pid) for pid in pids) and not folder.exists()
 
 
-def test_another_than_the_owner_of_the_token_is_refused(tmp_path: Path) -> None:
+def test_another_than_the_owner_of_the_token_is_refused(tmp_path: Path, start_fleet: Callable[[Path], subprocess.Popen[bytes]]) -> None:
     folder, other = tmp_path / "fleet", tmp_path / "other"
-    one = started_fleet(folder)
+    one = start_fleet(folder)
     told = json.loads((folder / control.FILE).read_text())
     other.mkdir()
     (other / control.FILE).write_text(json.dumps(told | {"token": "0" * 32}))
@@ -427,9 +442,11 @@
 
 
 @pytest.mark.parametrize("janitor_too", [False, True])
-def test_nothing_is_left_when_the_supervisor_itself_is_killed(tmp_path: Path, janitor_too: bool) -> None:
+def test_nothing_is_left_when_the_supervisor_itself_is_killed(
+    tmp_path: Path, janitor_too: bool, start_fleet: Callable[[Path], subprocess.Popen[bytes]]
+) -> None:
     folder = tmp_path / "fleet"
-    one = started_fleet(folder)
+    one = start_fleet(folder)
     pids = [int(line.split()[0]) for line in (folder / "pids").read_text().splitlines()]
     os.kill(pids[1], signal.SIGSTOP)  # one that stands still must go too
     if janitor_too:
