A command whose library is missing says so whatever words come after it

Cause: in an installation of the platform's own build `fleet up` ended with 'unexpected extra argument' (cli._missing took no words), seen in a fresh clone. Change: it takes any and names the library. Measured: a test; by hand in that clone.

--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -43,10 +43,12 @@
 def _missing(name: str, library: str) -> click.Command:
     """Stands for a command whose libraries this installation lacks, so that the others go on working."""
 
-    def explain() -> None:
+    def explain(words: tuple[str, ...]) -> None:
         _fail(f"'{name}' needs {library}: pip install -r requirements-all.txt")
 
-    return click.Command(name, callback=explain, help=f"(needs {library}, which is not installed)")
+    rest = click.Argument(["words"], nargs=-1, type=click.UNPROCESSED)  # its own sub-commands are not known here
+    text = f"(needs {library}, which is not installed)"
+    return click.Command(name, callback=explain, params=[rest], context_settings={"ignore_unknown_options": True}, help=text)
 
 
 @click.group(cls=Commands, help="A rate limiter that holds quotas by plan across a fleet of gateways.")
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -346,6 +346,14 @@
     assert played(tmp_path, n0_view=early, n1_view=early[:1], faults=gone)["suspected_s_max"] == 1.0
 
 
+def test_a_command_whose_library_is_missing_says_so_whatever_comes_after_it(capsys: pytest.CaptureFixture[str]) -> None:
+    from hazelhollow.cli import _missing
+
+    with pytest.raises(SystemExit) as ended:
+        _missing("fleet", "msgspec").main(["up", "--instances", "3"])
+    assert ended.value.code == 2 and "'fleet' needs msgspec" in capsys.readouterr().err
+
+
 # Real processes
 
 
