--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -163,6 +163,16 @@
     assert account.hubs == before
 
 
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_hub_that_is_gone_is_not_told_of_a_charge_at_once_and_the_other_is(gone: bool) -> None:
+    one = gateway(gateways=12)
+    ask(one, 1000.1, "look", plan_name="keeps", spread=12)
+    first, second = next(iter(one.accounts.values())).hubs
+    one.handle(api.Fleet(True, tuple(n for n in range(12) if not gone or n != first)), 1000.2)
+    told = {action.gateway for action in ask(one, 1000.3, "look", plan_name="keeps", spread=12) if isinstance(action, api.Tell)}
+    assert one.settings.me not in (first, second) and told == ({second} if gone else {first, second})
+
+
 @given(st.lists(st.integers(0, 3), min_size=2, max_size=8))
 def test_for_any_split_the_parts_together_let_in_no_more_than_the_quota(part_of: list[int]) -> None:
     """All ask for more than there is and know of the cut. Within a part gossip shares its quota: one speaks for it."""
