--- a/hazelhollow/bench/commands.py
+++ b/hazelhollow/bench/commands.py
@@ -11,6 +11,9 @@
 
 from hazelhollow.bench import cpu, store
 from hazelhollow.bench import fleet as fleets
+from hazelhollow.bench import model as models
+from hazelhollow.bench import replica as replicas
+from hazelhollow.rig import plan as plans
 
 
 @click.group("bench")
@@ -126,3 +129,73 @@
     if plot:
         plots.fleet(found, plot)
     sys.exit(1 if any(row[key]["not_settled"] for row in found.values() for key in fleets.SHOWN) else 0)
+
+
+def _numbers(text: str, least: int, most: int) -> list[int]:
+    """Raises ValueError that says what they must be."""
+    found = [int(part) for part in text.split(",")]
+    if not all(least <= number <= most for number in found):
+        raise ValueError(f"numbers from {least} to {most}, with commas between: {text}")
+    return found
+
+
+@bench.command("replica")
+@click.option("--customers", default="100,10000", show_default=True, metavar="N,M", help="That a limiter which begins is told of.")
+@click.option("--lose", default="0,10,30", show_default=True, metavar="P,Q", help="Of a hundred datagrams, lost.")
+@click.option("--fleets", default="5,20", show_default=True, metavar="N,M", help="Members, for what keeping alike costs.")
+@click.option("--seeds", default=3, show_default=True, type=click.IntRange(1, 1000))
+@click.option("--json", "file", metavar="FILE", help="Write the figures there; '-' prints them.")
+def replica_(customers: str, lose: str, fleets: str, seeds: int, file: str | None) -> None:
+    """What limiters keep alike, in memory: catch-up, steady cost, the heal of a split, bytes for a count.
+
+    Exit status 1: some catch-up was not whole within ten minutes, or was told of a customer not once.
+    """
+    try:
+        sizes, losses, members = _numbers(customers, 0, 1_000_000), _numbers(lose, 0, 90), _numbers(fleets, 2, 200)
+    except ValueError as error:
+        click.echo(f"hazelhollow: {error}", err=True)
+        sys.exit(2)
+    tty = sys.stderr.isatty()
+    found = replicas.report(
+        sizes, [n / 100 for n in losses], seeds, members, lambda text: click.echo(f"\r\x1b[K{text}", nl=False, err=True) if tty else None
+    )
+    _put(found, file)
+    sys.exit(1 if any(row["told"] != row["customers"] or row["worst_seconds"] > replicas.LONGEST for row in found["catch_up"]) else 0)
+
+
+@bench.command("model")
+@click.option("--members", default=2, show_default=True, type=click.IntRange(2, 4))
+@click.option("--charges", default=2, show_default=True, type=click.IntRange(0, 4))
+@click.option("--sends", default=2, show_default=True, type=click.IntRange(0, 5), help="Of gossip and of counts, in all.")
+@click.option("--turns", default=3, show_default=True, type=click.IntRange(0, 6), help="Of the period.")
+@click.option("--crashes", default=1, show_default=True, type=click.IntRange(0, 3))
+@click.option("--copies", default=1, show_default=True, type=click.IntRange(0, 3), help="Datagrams that come again.")
+@click.option("--lags", default=1, show_default=True, type=click.IntRange(0, 3), help="Turns that one clock comes late to.")
+@click.option("--depth", default=6, show_default=True, type=click.IntRange(1, 20), help="Steps.")
+@click.option("--plant", type=click.Choice(sorted(models.MISTAKES)), help="A mistake that it must find.")
+@click.option("--plan", "file", metavar="FILE", help="Write what broke as a plan for `fleet replay`.")
+def model_(
+    members: int, charges: int, sends: int, turns: int, crashes: int, copies: int, lags: int, depth: int, plant: str | None, file: str | None
+) -> None:
+    """Every order in which charges, datagrams, crashes and catch-up can come, up to these bounds, on the real merge and catch-up.
+
+    Exit status 1: something counted twice or was forgotten; the steps are printed, no shorter ones do it.
+    """
+    bounds = models.Bounds(members, charges, sends, turns, crashes, copies, lags, depth)
+    tty = sys.stderr.isatty()
+
+    def progress(states: int) -> None:
+        if tty:
+            click.echo(f"\r{states} states", nl=False, err=True)
+
+    if plant:
+        with models.planted(plant):
+            found = models.explore(bounds, progress)
+    else:
+        found = models.explore(bounds, progress)
+    click.echo(f"{found.states} states: {found.why or 'each charge counts once in all of them'}")
+    for step in found.steps:
+        click.echo("  " + " ".join(map(str, step)))
+    if found.steps and file:
+        Path(file).write_bytes(plans.write(models.as_plan(bounds, found.steps, found.why)))
+    sys.exit(1 if found.steps else 0)
--- /dev/null
+++ b/hazelhollow/bench/model.py
@@ -0,0 +1,352 @@
+"""All that can happen to counts, up to stated bounds: charges, datagrams late, lost, doubled or out of order, crashes, catch-up.
+
+Breadth first over sequences of steps that drive the real functions (`state.Memory`, `state.Totals`, `replica.counts.Book`); each
+sequence is played anew from the start, so nothing of the product has to be copied. In every state nobody may hold more for
+used than was charged; and after all have heard all counts, each holds what was charged, once.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from hazelhollow import interface as api
+from hazelhollow import state
+from hazelhollow.replica import counts
+from hazelhollow.replica.counts import Book, Row, Value
+from hazelhollow.rig.plan import Event, Plan
+
+Step = tuple[Any, ...]
+KEY, BURST, START = "abc", 1000.0, 1_000
+NEAR = 0.01
+SETTLE = 4  # periods until all that was charged is closed
+
+
+@dataclass(frozen=True)
+class Bounds:
+    members: int = 2
+    charges: int = 2
+    sends: int = 2
+    turns: int = 3
+    crashes: int = 1
+    copies: int = 1  # of datagrams that come again
+    lags: int = 1  # turns that one member's clock comes late to
+    depth: int = 8
+
+
+class Broken(Exception):
+    """A state that must not be."""
+
+
+class Member:
+    def __init__(self, number: int, members: int, now: int, life: str, whole: bool) -> None:
+        plan = api.Plan("p", rate=1e-9, burst=BURST, over_cost=1.0)
+        kind = api.RequestClass("c", 1.0, 3.0, 1.0, "safe")
+        self.memory = state.Memory(api.Settings(number, members, (kind,), (plan,), peers=True))
+        self.memory.keeps, self.memory.life, self.memory.born = True, life, float(now)
+        self.book, self.whole = Book(), whole
+        self.best: dict[tuple[int, str], float] = {}  # the most that it was ever told of a life
+        self.at(now)
+        if whole:
+            self.memory.known_from = -math.inf
+            self.account()
+
+    def at(self, now: int) -> None:
+        self.memory.now, self.memory.period = float(now), now
+        self.book.turn(now)
+        for action in self.memory.closed():
+            if isinstance(action, api.Closed):
+                c, me = action.told, self.memory.settings.me
+                own = (c.member, c.life) == (me, self.memory.life)
+                self.book.put(Row(KEY, "p", 0, action.spread, c.member, c.life, Value(c.since, c.through, round(10 * c.total), int(own))))
+
+    def account(self) -> state.Account:
+        one = self.memory.accounts.get(KEY)
+        if one is None:
+            one = self._make(KEY, self.memory.plans["p"], 0, self.memory.settings.gateways)
+        one.totals.turn(self.memory.period)
+        return one
+
+    def _make(self, key: str, plan: api.Plan, first: int, spread: int) -> state.Account:
+        known = self.memory.accounts.get(key)
+        if known is None:
+            level = plan.burst if self.whole else plan.burst / spread
+            known = self.memory.accounts[key] = state.Account(plan, level, self.memory.now, self.memory.now, False, True)
+            known.place(first, spread, self.memory.settings, 0, 0)
+        known.totals.turn(self.memory.period)
+        return known
+
+    def copied(self, event: api.Copied) -> None:
+        self.memory.copied(event, self._make, 0.5)
+
+    def tell_rows(self, rows: list[Row]) -> None:
+        for row in rows:
+            mine, who = (row.member, row.life) == (self.memory.settings.me, self.memory.life), (row.member, row.life)
+            self.best[who] = max(self.best.get(who, 0.0), row.value.total / 10)
+            if not mine and self.book.put(row) and self.whole:
+                self.count(row)
+
+    def count(self, row: Row) -> None:
+        value = row.value
+        count = api.Count(row.member, row.life, value.since, value.through, value.total / 10)
+        self.copied(api.Copied(KEY, "p", 0, row.spread, (count,)))
+
+    def used(self) -> float:
+        one = self.account()
+        return BURST - (one.budget.level - one.owed)
+
+    def shown(self) -> tuple[Any, ...]:
+        a = self.account()
+        t = a.totals
+        return (
+            round(a.budget.level - a.owed, 3), self.whole, a.copied, t.closed, t.knows, tuple(sorted(t.charged.items())), tuple(sorted(t.heard.items())),
+            tuple(sorted((t.bases or {}).items())), tuple(sorted((r.member, r.life, r.value) for r in self.book.rows(KEY))),
+        )  # fmt: skip
+
+
+class World:
+    """The members, what is on its way, and what really was charged, by life."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds, self.period = bounds, START
+        self.members = [Member(n, bounds.members, START, f"a{n}", True) for n in range(bounds.members)]
+        self.flying: list[tuple[int, int, str, Any]] = []
+        self.charged: dict[tuple[int, str], int] = {}
+        self.left = {"charge": bounds.charges, "send": bounds.sends, "turn": bounds.turns, "crash": bounds.crashes, "again": bounds.copies}
+        self.left["lag"] = bounds.lags
+
+    def steps(self) -> Iterator[Step]:
+        """What can happen next."""
+        numbers = range(len(self.members))
+        if self.left["charge"]:
+            yield from (("charge", n) for n in numbers)
+        if self.left["turn"]:
+            yield ("turn",)
+            if self.left["lag"]:
+                yield from (("turn", n) for n in numbers)
+        if self.left["send"]:
+            pairs = [(a, b) for a in numbers for b in numbers if a != b]
+            yield from (("gossip", a, b) for a, b in pairs if self.members[a].account().totals.charged)
+            yield from (("counts", a, b) for a, b in pairs if self.members[a].book.customers)
+        yield from (("ask", n, g) for n in numbers for g in numbers if not self.members[n].whole and self.members[g].whole and n != g)
+        for place in range(len(self.flying)):
+            yield ("deliver", place)
+            if self.left["again"]:
+                yield ("again", place)
+        if self.left["crash"]:
+            yield from (("crash", n) for n in numbers)
+
+    def do(self, step: Step) -> None:
+        what = step[0]
+        if what in self.left:
+            self.left[what] -= 1
+        if what == "charge":
+            one = self.members[step[1]]
+            account = one.account()
+            account.budget.level -= account.totals.charge(1.0, one.memory.period)
+            who = step[1], one.memory.life
+            self.charged[who] = self.charged.get(who, 0) + 1
+        elif what == "turn":
+            self.period += 1
+            self.left["lag"] -= len(step) - 1
+            for number, one in enumerate(self.members):
+                if step[1:] != (number,):
+                    one.at(self.period)
+        elif what in ("gossip", "counts"):
+            self.left["send"] -= 1
+            self.flying.append((step[1], step[2], what, self._said(self.members[step[1]], what)))
+        elif what == "ask":
+            piece = self.members[step[2]].memory.copy_of(KEY)
+            self.flying.append((step[2], step[1], "piece", (self.members[step[1]].memory.life, piece)))
+        elif what in ("deliver", "again"):
+            a, b, kind, said = self.flying[step[1]]
+            if what == "deliver":
+                del self.flying[step[1]]
+            self._take(a, self.members[b], kind, said)
+        elif what == "crash":
+            self.members[step[1]] = Member(step[1], len(self.members), self.period, f"b{step[1]}{self.period}", False)
+            self.flying = [f for f in self.flying if f[1] != step[1]]
+
+    @staticmethod
+    def _said(one: Member, kind: str) -> Any:
+        if kind == "gossip":
+            return one.memory.life, dict(one.account().totals.charged)
+        return one.book.rows(KEY)
+
+    def _take(self, source: int, one: Member, kind: str, said: Any) -> None:
+        if kind == "gossip":
+            life, periods = said
+            account = one.account()
+            for period, total in periods.items():
+                account.budget.level -= account.totals.hear(f"{source}.{life}", period, total)
+        elif kind == "counts":
+            one.tell_rows(said)
+        elif said[0] == one.memory.life and said[1] is not None and not one.whole:
+            one.copied(said[1])
+            self._whole(one)
+
+    @staticmethod
+    def _whole(one: Member) -> None:
+        one.whole = True
+        one.copied(api.Copied(""))
+        for row in one.book.rows(KEY):
+            if (row.member, row.life) != (one.memory.settings.me, one.memory.life):
+                one.count(row)
+
+    # What must hold
+
+    def check(self) -> None:
+        total = sum(self.charged.values())
+        for number, one in enumerate(self.members):
+            if one.whole and one.used() > total + NEAR:
+                raise Broken(f"member {number} holds {one.used():g} for used where {total} were charged: something counts twice")
+
+    def finish(self) -> None:
+        """All hear all; then each holds what was charged. What the dead charged and no row told may be known to some alone."""
+        live = {(n, one.memory.life) for n, one in enumerate(self.members)}
+        for one in self.members:
+            giver = next((g for g in self.members if g.whole), None)
+            if not one.whole and giver is not None:
+                self._take(0, one, "piece", (one.memory.life, giver.memory.copy_of(KEY)))
+            elif not one.whole:
+                return  # nobody is left who knows anything
+        for _ in range(SETTLE):
+            self.do(("turn",))
+        for _ in range(2):
+            for a, source in enumerate(self.members):
+                for b, one in enumerate(self.members):
+                    if a != b:
+                        one.tell_rows(source.book.rows(KEY))
+        told = [max((one.best.get(who, 0.0) for one in self.members), default=0.0) for who in self.charged if who not in live]
+        least, most = sum(self.charged.get(who, 0) for who in live) + sum(told), sum(self.charged.values())
+        for number, one in enumerate(self.members):
+            if not least - NEAR <= one.used() <= most + NEAR:
+                raise Broken(f"in the end member {number} holds {one.used():g} for used; {least} to {most} were charged")
+        sums = {tuple(one.book.sums()) for one in self.members}
+        if len(sums) != 1:
+            raise Broken("all have told each other all, and their books differ")
+
+    def shown(self) -> tuple[Any, ...]:
+        return self.period, tuple(one.shown() for one in self.members), repr(self.flying), tuple(self.left.items())
+
+
+def play(bounds: Bounds, steps: tuple[Step, ...]) -> World:
+    world = World(bounds)
+    for step in steps:
+        world.do(step)
+    return world
+
+
+@dataclass
+class Found:
+    states: int
+    steps: tuple[Step, ...] = ()
+    why: str = ""
+
+
+def explore(bounds: Bounds, progress: Callable[[int], None] = lambda states: None, first: tuple[Step, ...] = ()) -> Found:
+    """Every state within the bounds that follows on `first`, or up to the first that is broken: no shorter sequence breaks one."""
+    seen, waiting, states = {play(bounds, first).shown()}, deque[tuple[Step, ...]]([first]), 0
+    while waiting:
+        steps = waiting.popleft()
+        states += 1
+        if states % 1000 == 0:
+            progress(states)
+        try:
+            play(bounds, steps).check()
+            play(bounds, steps).finish()
+        except Broken as error:
+            return Found(states, steps, str(error))
+        if len(steps) == bounds.depth:
+            continue
+        for step in list(play(bounds, steps).steps()):
+            after = play(bounds, (*steps, step))
+            shown = after.shown()
+            if shown not in seen:
+                seen.add(shown)
+                waiting.append((*steps, step))
+    return Found(states)
+
+
+# Mistakes that it must find
+
+
+@contextmanager
+def planted(name: str) -> Iterator[None]:
+    """The product with a mistake in it, for as long as it lasts."""
+    owner, attribute, wrong = MISTAKES[name]
+    right = getattr(owner, attribute)
+    setattr(owner, attribute, wrong(right))
+    try:
+        yield
+    finally:
+        setattr(owner, attribute, right)
+
+
+def _late_gossip(right: Callable[..., float]) -> Callable[..., float]:
+    def hear(totals: state.Totals, life: str, period: int, total: float) -> float:
+        bases, totals.bases = totals.bases, {}
+        try:
+            return right(totals, life, period, total)
+        finally:
+            totals.bases = bases
+
+    return hear
+
+
+def _forgets_gossip(right: Callable[..., float]) -> Callable[..., float]:
+    def told(totals: state.Totals, who: str, since: int, through: int, total: float) -> float:
+        heard, totals.heard = totals.heard, {}
+        try:
+            return right(totals, who, since, through, total)
+        finally:
+            totals.heard = heard
+
+    return told
+
+
+def _last_speaker(right: Callable[..., Value]) -> Callable[..., Value]:
+    return lambda one, other: other
+
+
+def _forgets_own(right: Callable[..., None]) -> Callable[..., None]:
+    def adopt(memory: state.Memory, account: state.Account, told: tuple[api.Count, ...], level: float, period: int) -> None:
+        before, closed = account.totals.charged, account.totals.closed
+        account.totals.charged, account.totals.closed = {}, 0.0
+        right(memory, account, told, level, period)
+        account.totals.charged, account.totals.closed = before, closed
+
+    return adopt
+
+
+MISTAKES: dict[str, tuple[Any, str, Callable[..., Any]]] = {
+    "late gossip counts beside its count": (state.Totals, "hear", _late_gossip),
+    "a count forgets what gossip told": (state.Totals, "told", _forgets_gossip),
+    "who spoke last is right": (counts, "merge", _last_speaker),
+    "catch-up forgets what was charged meanwhile": (state.Memory, "_adopt", _forgets_own),
+}
+
+
+def as_plan(bounds: Bounds, steps: tuple[Step, ...], name: str) -> Plan:
+    """The same as a drill: a second for each period, links cut where a datagram stayed away, processes killed where one ended."""
+    events, at, sent = list[Event](), 4.0, list[tuple[int, int]]()
+    for step in steps:
+        if step[0] == "turn":
+            at += 1.0
+        elif step[0] in ("gossip", "counts"):
+            sent.append((step[1], step[2]))
+        elif step[0] == "ask":
+            sent.append((step[2], step[1]))
+        elif step[0] == "deliver" and step[1] < len(sent):
+            del sent[step[1]]
+        elif step[0] == "again":
+            events.append(Event(at=at, what="double", whom=(f"n{sent[step[1]][0]}",), others=(f"n{sent[step[1]][1]}",), lasts=1.0, amount=1.0, one_way=True))
+        elif step[0] == "crash":
+            events.append(Event(at=at, what="kill", whom=(f"n{step[1]}",), lasts=0.3))
+    for a, b in dict.fromkeys(sent):
+        events.append(Event(at=4.0, what="cut", whom=(f"n{a}",), others=(f"n{b}",), lasts=max(1.0, at - 3.0), one_way=True))
+    return Plan(name=name, instances=max(2, bounds.members), seconds=at + 12.0, events=tuple(events))
--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -18,6 +18,7 @@
 PERIOD = 1.0  # seconds from one renewal of the budgets to the next
 FLUSHES = 15  # gossip rounds a period
 INTAKE_SHARE = 0.8  # of the told intake of messages: what a gateway sends at most
+PAY_BACK, RECKONED = 0.5, 4.0  # of the rate, for what went over unheard; periods until counts are in
 TOGETHER_AGAIN = 0.5  # of the burst, where the view is kept: those that began together may have been there
 DIRECT = 8  # the largest set whose members tell each other, and the largest fleet whose gateways tell loads
 HUBS = 2  # members of a larger set that sum its charges and tell the rest how much is spent
@@ -116,6 +117,8 @@
         elif isinstance(event, api.Fleet):
             self.together = TOGETHER_AGAIN
             self.take_view(event, DIRECT, HUBS)
+        elif isinstance(event, api.Copied):
+            self.copied(event, self._account, PAY_BACK)
         return self.actions
 
     # Budgets
@@ -125,18 +128,18 @@
         if account is None:
             # A new gateway allows the burst divided by its gateways, and the rate since its start. In a large
             # set, whose hubs will tell when it is spent, one request at least, or the quiet would be refused.
-            part = max(plan.burst / max(spread, 1), self.settings.max_units if large else 0.0)
+            least = self.settings.max_units if large and not self.keeps else 0.0
+            part = max(plan.burst / max(spread, 1), least)
             part += max(plan.burst - part, 0.0) * self.together if self.whole else 0.0
-            level = min(plan.burst, part + plan.rate * (self.now - self.born))
-            account = self.accounts[key] = Account(plan, level, self.born, self.now, self.whole)
+            level = min(plan.burst, part + plan.rate * (self.now - min(self.born, self.known_from)))
+            account = self.accounts[key] = Account(plan, level, self.born, self.now, self.whole, self.keeps)
         if spread and (account.first, account.spread) != (first, spread):
             account.place(first, spread, self.settings, int(key, 36), HUBS if large else 0, self.lost)
-            account.leave_to(self.lost, self.settings.gateways)
+            account.leave_to(self.lost, self.settings.gateways, self.now)
             if large and self.settings.me in account.hubs and not account.telling:
                 account.budget.level = plan.burst  # it hears what is used, and from the other hub what was
             account.share_ceiling(spread)  # shares sum to the second store, so each is safe alone
-        account.budget.fill(self.now)
-        account.totals.turn(self.period)
+        account.fill(self.now, PAY_BACK, self.period)
         return account
 
     def _allow(self, event: api.Allowance) -> None:
@@ -250,7 +253,8 @@
         self.actions.append(api.SetTimer(self.flush_every, "beat"))
         if self.flushed < self.period:
             self.flushed, booked, self.booked = self.period, self.booked, {}
-            self.forget(SILENT * PERIOD)
+            self.forget(SILENT * PERIOD, RECKONED * PERIOD)
+            self.actions += self.closed()
             for key in booked:  # the final figure, for the carry-over; of a large set's quiet customers not
                 account = self.accounts.get(key)
                 if account and (account.spread <= DIRECT or account.telling):
--- a/hazelhollow/fleet/driver.py
+++ b/hazelhollow/fleet/driver.py
@@ -45,7 +45,9 @@
         yielded: Callable[[], None],
         lines: Path | None = None,
         seeds: Sequence[tuple[str, int]] = (),
+        keeps: bool = False,
     ) -> None:
+        self._keeps = keeps
         self._scheduler, self._peers, self.view, self._seal = scheduler, peers, view, seal
         self._told, self._yielded, self._seeds = told, yielded, tuple(seeds)
         self._lines = os.open(lines, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644) if lines else -1
@@ -106,6 +108,10 @@
         except OSError as error:
             self._log.warning("view: cannot send to the own address: %s", error)
 
+    def lost(self) -> frozenset[int]:
+        """Those that cannot be heard and may go on letting in."""
+        return self._shares.lost
+
     def end(self) -> None:
         if not self._ended:
             self._ended = True
@@ -185,7 +191,7 @@
                 lives.setdefault(record.state in (SUSPECT, DEAD), {})[record.number] = record.life
         unused = self._shares.look(lives.get(True, {}), lives.get(False, {}), now)
         lost = tuple(sorted(self._shares.lost))
-        event = api.Fleet(view.acting, tuple(view.present()), tuple(view.unheard()), tuple(view.deaf()), lost, tuple(unused))
+        event = api.Fleet(view.acting, tuple(view.present()), tuple(view.unheard()), tuple(view.deaf()), lost, tuple(unused), self._keeps)
         before, quiet = self._last, replace(event, unused=())
         acts = before is None or event.acting != before.acting
         if before is not None and acts:
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -201,7 +201,8 @@
     `acting`: whether this one may take new work: not before it knows what the others hold of it. `present`: numbers of
     those that are up, this one among them; `unheard`: those of them that this one cannot hear; `deaf`: those that
     cannot hear this one. `lost`: those that cannot be heard and may go on letting in, so that their even part of each
-    quota is left to them; `unused`: members, and seconds of such a part that turned out to be nobody's.
+    quota is left to them; `unused`: members, and seconds of such a part that turned out to be nobody's. `keeps`: what each
+    has charged is told again by counts (Copied), so that what was missed can be made up for; Closed is wanted.
     """
 
     acting: bool
@@ -210,10 +211,38 @@
     deaf: tuple[int, ...] = ()
     lost: tuple[int, ...] = ()
     unused: tuple[tuple[int, float], ...] = ()
+    keeps: bool = False
+
+
+class Count(NamedTuple):
+    """What a member, in the life of that name, charged a customer from the period `since` (0: not known) on, up to `through`,
+    the last that it charged in and that is closed; and, where they are told, in the two that are open. Units."""
+
+    member: int
+    life: str
+    since: int
+    through: int
+    total: float
+    first: float = 0.0
+    second: float = 0.0
+
+
+class Copied(NamedTuple):
+    """What others know of a customer (by its key in messages). With `level`, all that a peer knows, for one that has just
+    begun: units left of the burst, the counts being part of that, in the giver's `period`. Without, counts that have come since. No key: it is
+    whole now, and a customer that it was not told of has its whole burst."""
+
+    key: str
+    plan_name: str = ""
+    first_gateway: int = 0
+    spread: int = 0
+    counts: tuple[Count, ...] = ()
+    level: float | None = None
+    period: int = 0
 
 
 Event = Union[
-    Servers, Request, Started, Outcome, ClientGone, Timer, ProbeResult, PeerMessage, Counted, Allowance, Ban, Fleet
+    Servers, Request, Started, Outcome, ClientGone, Timer, ProbeResult, PeerMessage, Counted, Allowance, Ban, Fleet, Copied
 ]
 
 
@@ -270,4 +299,14 @@
     text: str
 
 
-Action = Union[Send, Cancel, Refuse, Fail, SetTimer, Tell, Subscribe, Log]
+class Closed(NamedTuple):
+    """A count of a customer, one period further: this gateway's own, or another's as it was heard; where counts are kept."""
+
+    key: str
+    plan_name: str
+    first_gateway: int
+    spread: int
+    told: Count
+
+
+Action = Union[Send, Cancel, Refuse, Fail, SetTimer, Tell, Subscribe, Log, Closed]
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -5,6 +5,7 @@
 import logging
 import math
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 from hazelhollow import interface as api
@@ -64,6 +65,7 @@
         self._decisions, self._scheduler = decisions, scheduler
         self._issuers, self._stats, self._most_open = issuers, stats, most_open
         self.peers: Peers | None = None
+        self.closed: Callable[[api.Closed], None] | None = None  # who wants the module's own counts
         self.open: dict[str, Open] = {}
         self._events: deque[tuple[api.Event, Open | None]] = deque()
         self._busy = False
@@ -118,6 +120,9 @@
     def fleet(self, event: api.Fleet) -> None:
         self._handle(event)
 
+    def copied(self, event: api.Copied) -> None:
+        self._handle(event)
+
     def heard(self, sender: int, text: str) -> None:
         self._handle(api.PeerMessage(sender, text))
 
@@ -226,6 +231,8 @@
                 self._issuers.give_up(found.legs[action.attempt], Ending.CANCELLED)
         elif isinstance(action, api.Log):
             log.info("%s", action.text)
+        elif isinstance(action, api.Closed) and self.closed:
+            self.closed(action)
         # Subscribe: the watch on discovery always stands.
 
     def _send(self, action: api.Send, now: float) -> None:
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -41,6 +41,7 @@
     def reload(self) -> None: ...
     def ready(self) -> bool: ...
     def view(self) -> dict[str, Any] | None: ...
+    def called(self, server: str, down: bool) -> None: ...
     def end(self) -> None: ...
 
 
@@ -128,6 +129,12 @@
         if write:
             self.bans.write(self.banned)
 
+    def take_calls(self, calls: dict[str, bool]) -> None:
+        """Servers that operators have put out (or back), here or at a peer."""
+        down = {server for server in self.banned if server not in calls} | {server for server, out in calls.items() if out}
+        if down != self.banned:
+            self.set_bans(down)
+
     def _changed(self, event: api.Servers) -> None:
         if not self.first_list:
             self.first_list = True
@@ -230,6 +237,8 @@
         if server not in service.table.ever and server not in service.banned:
             return f"no server '{server}' has been listed"
         service.set_bans(service.banned | {server} if down else service.banned - {server})
+        if service.attached:
+            service.attached.called(server, down)
         return None
 
 
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -31,6 +31,7 @@
         self.operator_calls: Counter[str] = Counter()
         self.operator_endings: Counter[Ending] = Counter()
         self.view: Counter[str] = Counter()  # the fleet's, where an operator file switches it on
+        self.replica: Counter[str] = Counter()
         self.store: dict[str, dict[str, Any]] = {}  # the shared store, where an operator file has one
 
     def reply(self, kind: str, what: str) -> None:
--- a/hazelhollow/operator/attach.py
+++ b/hazelhollow/operator/attach.py
@@ -19,6 +19,8 @@
 from hazelhollow.operator import load, logs, records
 from hazelhollow.operator.commands import fail
 from hazelhollow.operator.syntax import CueError, Place, Trouble
+from hazelhollow.replica import snapshot
+from hazelhollow.replica.driver import Driver as ReplicaDriver
 from hazelhollow.store.books import Books
 from hazelhollow.store.driver import Driver
 from hazelhollow.store.exchange import Exchange
@@ -35,6 +37,7 @@
         self.books: Books | None = None
         self.driver: Driver | None = None
         self.fleet: FleetDriver | None = None
+        self.replica: ReplicaDriver | None = None
         self.seal = Seal(_keys(operator.fleet))
         self._seed = 0
 
@@ -73,10 +76,24 @@
         view = View(settings.me, settings.gateways, service.scheduler.clock(), self._seed, budget(self.seal), address=address)
         lines = Path(terms.view_file) if terms.view_file else None
         self.fleet = FleetDriver(
-            service.scheduler, peers, view, self.seal, service.limiter.fleet, service.leave, lines, seeds or ((peers.address,) if address else ())
+            service.scheduler, peers, view, self.seal, service.limiter.fleet, service.leave, lines, seeds or ((peers.address,) if address else ()),
+            keeps=terms.replicate is not None,
         )
         service.stats.view = view.counts
         self.fleet.start()
+        if terms.replicate:
+            self._begin_replica(service, self.fleet, terms.replicate)
+
+    def _begin_replica(self, service: Service, fleet: FleetDriver, terms: records.Replicate) -> None:
+        peers = service.limiter.peers
+        assert peers is not None
+        file = snapshot.File(Path(terms.state_dir), service.settings.me) if terms.state_dir else None
+        self.replica = ReplicaDriver(
+            service.scheduler, peers, fleet, self.seal, service.gateway, service.limiter.copied, service.take_calls, self._seed, budget(self.seal), file
+        )
+        service.limiter.closed = self.replica.closed
+        service.stats.replica = self.replica.exchange.counts
+        self.replica.start()
 
     def ready(self) -> bool:
         """Whether it may be given work: as a member that the others know."""
@@ -84,10 +101,18 @@
 
     def view(self) -> dict[str, Any] | None:
         """What `call fleet` answers."""
-        return self.fleet.document() if self.fleet else None
+        document = self.fleet.document() if self.fleet else None
+        return document | {"replica": self.replica.document()} if document and self.replica else document
+
+    def called(self, server: str, down: bool) -> None:
+        """An operator has put a server out or back at this limiter."""
+        if self.replica:
+            self.replica.call(server, down)
 
     def end(self) -> None:
         """The limiter has answered all and ends."""
+        if self.replica:
+            self.replica.end()
         if self.fleet:
             self.fleet.end()
 
--- a/hazelhollow/operator/records.py
+++ b/hazelhollow/operator/records.py
@@ -58,12 +58,19 @@
     tls: Tls | None = None
 
 
+class Replicate(Record, frozen=True):
+    """A folder that outlives the process; empty where there is none."""
+
+    state_dir: str = ""
+
+
 class Fleet(Record, frozen=True):
     """Paths; empty where there is none."""
 
     seeds: tuple[tuple[str, int], ...] = ()
     keys_file: str = ""
     view_file: str = ""
+    replicate: Replicate | None = None
 
 
 class Operator(Record, frozen=True):
--- a/hazelhollow/operator/schema.cue
+++ b/hazelhollow/operator/schema.cue
@@ -13,9 +13,15 @@
 #Fleet: {
 	seeds: [...#Address]
 	keys_file?: string // keys, one a line, of the hash that the view's datagrams end with; the first one seals
+	replicate?: #Replicate
 	view_file?: string // gets a JSON line whenever the view changes
 }
 
+// What each has charged whom, and hosts put out by hand, kept alike at all limiters, with catch-up for one that begins.
+#Replicate: {
+	state_dir?: string // a folder that outlives the process: all killed at once begin where they were
+}
+
 #Log: {
 	format: *"json" | "console"
 	level:  *"info" | "debug" | "warning" | "error"
--- /dev/null
+++ b/hazelhollow/replica/driver.py
@@ -0,0 +1,227 @@
+"""The thin driver of the replica: its datagrams go where the gossip's go, its beats on the limiter's clock."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+from zlib import crc32
+
+from hazelhollow import interface as api
+from hazelhollow.fleet.driver import Driver as FleetDriver
+from hazelhollow.fleet.seal import Seal
+from hazelhollow.gossip import base36
+from hazelhollow.net.peers import Peers
+from hazelhollow.net.scheduler import Scheduler
+from hazelhollow.net.sparse import Sparse
+from hazelhollow.replica import exchange, snapshot
+from hazelhollow.replica.counts import Row, Value
+from hazelhollow.replica.words import DIALECT, Recent, Slice
+from hazelhollow.state import Memory
+
+TENTHS = 10
+SAVE_EVERY = 0.25  # seconds between snapshots; the rate of so long is taken off what one says
+NAMES = 36**3  # of plans' tags
+
+log = logging.getLogger(__name__)
+
+
+def tag_of(plan: str) -> str:
+    """A plan's name in messages, the same at members whose settings list other plans beside it."""
+    return base36(crc32(plan.encode()) % NAMES)
+
+
+class Copies:
+    """The decision module's knowledge, as the exchange asks for it."""
+
+    def __init__(self, memory: Memory) -> None:
+        self._memory = memory
+
+    def short(self) -> list[str]:
+        return self._memory.short()
+
+    def slice(self, key: str) -> Slice | None:
+        one = self._memory.copy_of(key)
+        if one is None or one.level is None:
+            return None
+        plan = self._memory.plans[one.plan_name]
+        recents = tuple(
+            Recent(c.member, c.life, Value(c.since, c.through, _tenths(c.total)), _tenths(c.first), _tenths(c.second)) for c in one.counts
+        )
+        return Slice(key, tag_of(one.plan_name), one.first_gateway, one.spread, max(0, _tenths(plan.burst - one.level)), recents)
+
+
+def _tenths(units: float) -> int:
+    return round(TENTHS * units)
+
+
+class Driver:
+    """`told` is the decision module's handler of events; `banned` is called with hosts, and whether each is out by hand,
+    when others' calls have changed that. `file`: where snapshots go, at sites with a disk."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        peers: Peers,
+        fleet: FleetDriver,
+        seal: Seal,
+        memory: Memory,
+        told: Callable[[api.Copied], None],
+        banned: Callable[[dict[str, bool]], None],
+        seed: int,
+        most: int,
+        file: snapshot.File | None = None,
+    ) -> None:
+        self._scheduler, self._peers, self._fleet, self._seal = scheduler, peers, fleet, seal
+        self._memory, self._told, self._banned, self._file = memory, told, banned, file
+        me, members = memory.settings.me, memory.settings.gateways
+        self.exchange = exchange.Exchange(me, members, "", seed, Copies(memory), most)
+        self._plans = {tag_of(name): name for name in memory.plans}
+        self._heard_before = peers.heard
+        self._away = set(range(members)) - {me}
+        self._ended = self._was_whole = False
+        self._log = Sparse(log, scheduler.clock)
+        self._snapshot: snapshot.Snapshot | None = None
+        self._saved = 0.0
+
+    def start(self) -> None:
+        self._heard_before, self._peers.heard = self._peers.heard, self.heard
+        now = self._scheduler.clock()
+        self._snapshot = self._file.load(now) if self._file else None
+        if self._snapshot:
+            for one in self._snapshot.calls():
+                self.exchange.hands.put(one)
+            self._banned(self.exchange.hands.out())
+        self._beat()
+
+    def heard(self, sender: int, text: str) -> None:
+        if not text.startswith(DIALECT[0]):
+            self._heard_before(sender, text)
+            return
+        plain = self._seal.open(text)
+        if plain is None:
+            self.exchange.counts["unsealed"] += 1
+            return
+        self._pass_on(self.exchange.heard(sender, plain, self._scheduler.clock()))
+
+    def closed(self, action: api.Closed) -> None:
+        """What the decision module says of its own counts, and of others' as it heard them."""
+        count = action.told
+        own = count.member == self.exchange.me and count.life == self.exchange.life
+        value = Value(count.since, count.through, _tenths(count.total), int(own))
+        self.exchange.charged(Row(action.key, tag_of(action.plan_name), action.first_gateway, action.spread, count.member, count.life, value))
+
+    def call(self, host: str, down: bool) -> None:
+        """An operator's call at this limiter."""
+        self._pass_on(self.exchange.call(host, down, self._scheduler.clock()))
+
+    def end(self) -> None:
+        if not self._ended:
+            self._ended = True
+            self._save()
+
+    def document(self) -> dict[str, Any]:
+        one = self.exchange
+        return {
+            "whole": one.whole,
+            "gives": one.gives(),
+            "customers": len(one.book),
+            "owed": round(sum(account.owed for account in self._memory.accounts.values()), 1),
+            "troubles": dict(one.book.troubles),
+            "counts": dict(one.counts),
+            "hosts_out": sorted(host for host, out in one.hands.out().items() if out),
+        }
+
+    def _beat(self) -> None:
+        if self._ended:
+            return
+        now = self._scheduler.clock()
+        self._scheduler.at(now + exchange.BEAT, self._beat)
+        view = self._fleet.view
+        here = {n for n in view.present() if n != view.me and view.acting}
+        away = (set(range(view.members)) - here - {view.me}) | self._fleet.lost() | set(view.unheard())
+        for number in sorted(self._away - away):
+            self.exchange.returned(number)
+        self._away = away
+        if self._memory.life:  # which the first event gives it
+            self.exchange.life = self._memory.life
+            self._pass_on(self.exchange.beat(now, sorted(here - away)))
+        if self._file and now - self._saved >= SAVE_EVERY and self.exchange.whole:
+            self._saved = now
+            self._save()
+
+    def _pass_on(self, sends: list[exchange.Send]) -> None:
+        for send in sends:
+            self._peers.tell(send.number, self._seal.close(send.text))
+        one = self.exchange
+        slices, one.slices = one.slices, []
+        for piece in slices:
+            self._tell_slice(*piece)
+        if one.whole and not self._was_whole:
+            self._now_whole()
+        if one.whole:
+            rows, one.rows = one.rows, []
+            self._tell_rows(rows)
+        if one.calls:
+            for call in one.calls:
+                self._log.say(logging.WARNING, "server %s is %s by an operator at member %d", call.host, "out" if call.down else "back", call.member)
+            one.calls = []
+            self._banned(one.hands.out())
+
+    def _now_whole(self) -> None:
+        """Counts that came before a customer was told of have changed nothing yet: they are told again."""
+        self._was_whole = True
+        one = self.exchange
+        if one.told_by is not None:
+            log.info("replica: whole, told by member %d of %d customers", one.told_by, len(self._memory.accounts))
+            self._told(api.Copied(""))
+        elif self._snapshot:
+            self._restore(self._snapshot)
+        one.rows = [row for key in self._memory.accounts for row in one.book.rows(key) if (row.member, row.life) != (one.me, one.life)]
+
+    def _restore(self, kept: snapshot.Snapshot) -> None:
+        """Nobody is there who knows more: all ended at once."""
+        now = self._scheduler.clock()
+        for left in kept.customers:
+            plan = self._memory.plans.get(left.plan)
+            if plan:
+                level = min(plan.burst, left.level + plan.rate * (max(0.0, now - kept.at) - SAVE_EVERY))
+                self._told(api.Copied(left.key, left.plan, left.first, left.spread, (), level))
+        log.info("replica: nobody to be told by; %d customers of a snapshot %.1f s old", len(kept.customers), now - kept.at)
+        self._told(api.Copied(""))
+        self.exchange.restored = True
+
+    def _tell_slice(self, one: Slice, period: int) -> None:
+        name = self._plans.get(one.plan)
+        if name is None:
+            self.exchange.counts["plans unknown"] += 1
+            return
+        counts = tuple(
+            api.Count(
+                r.member, r.life, r.value.since, r.value.through, r.value.total / TENTHS, r.first / TENTHS, r.second / TENTHS
+            )
+            for r in one.recents
+        )
+        level = self._memory.plans[name].burst - one.spent / TENTHS
+        self._told(api.Copied(one.key, name, one.first, one.spread, counts, level, period))
+
+    def _tell_rows(self, rows: list[Row]) -> None:
+        for row in rows:
+            name = self._plans.get(row.plan)
+            if name is None:
+                self.exchange.counts["plans unknown"] += 1
+                continue
+            value = row.value
+            count = api.Count(row.member, row.life, value.since, value.through, value.total / TENTHS)
+            self._told(api.Copied(row.key, name, row.first, row.spread, (count,)))
+
+    def _save(self) -> None:
+        if self._file is None:
+            return
+        memory, left = self._memory, list[snapshot.Left]()
+        for key in memory.short()[: snapshot.MOST]:
+            account = memory.accounts[key]
+            left.append(snapshot.Left(key, account.plan.name, account.first, account.spread, account.budget.level - account.owed))
+        hands = [tuple(one) for one in self.exchange.hands.calls.values()]
+        now = self._scheduler.clock()
+        self._file.save(snapshot.Snapshot(snapshot.FORMAT, snapshot.VERSION, now, memory.settings.me, left, hands))  # type: ignore[arg-type]
--- /dev/null
+++ b/hazelhollow/replica/hands.py
@@ -0,0 +1,51 @@
+"""Hosts put out by hand, alike at all members. No I/O, no clock.
+
+The rule: the call that was made after having seen the most others holds, whoever's clock says what (`order`, one more than
+the greatest known where it was made). Of two made at once, at both sides of a split, say, the one that puts the host out
+holds, since sending it nothing harms nobody; then the later by the clock, then the greater number of the member.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from hazelhollow.replica.counts import SUM_RANGE
+from hazelhollow.replica.words import Hand
+
+
+def merge(one: Hand, other: Hand) -> Hand:
+    """Of two calls about one host."""
+    return max(one, other)
+
+
+class Hands:
+    """Of every host that a call was ever made about: the call that holds."""
+
+    def __init__(self) -> None:
+        self.calls: dict[str, Hand] = {}
+
+    def call(self, host: str, down: bool, now: float, member: int) -> Hand | None:
+        """An operator's own call here; nothing where it changes nothing."""
+        known = self.calls.get(host)
+        if known is not None and bool(known.down) == down or (known is None and not down):
+            return None
+        order = 1 + max((one.order for one in self.calls.values()), default=0)
+        one = self.calls[host] = Hand(host, order, int(down), int(now * 1000), member)
+        return one
+
+    def put(self, other: Hand) -> bool:
+        """Whether it changed anything."""
+        known = self.calls.get(other.host)
+        one = other if known is None else merge(known, other)
+        if one == known:
+            return False
+        self.calls[other.host] = one
+        return True
+
+    def digest(self) -> int:
+        text = repr(sorted(self.calls.values()))
+        return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") % SUM_RANGE
+
+    def out(self) -> dict[str, bool]:
+        """By host, whether it is out by hand."""
+        return {host: bool(one.down) for host, one in self.calls.items()}
--- /dev/null
+++ b/hazelhollow/replica/snapshot.py
@@ -0,0 +1,109 @@
+"""What a limiter knew, on disk, so that all killed at once is not a new burst for everybody.
+
+A file is a checksum and a document of a format and version. It is written whole beside the old one and put in its place; what
+is spoilt, of another version or too old is set aside under another name and said, never trusted, never fatal.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+from pathlib import Path
+from zlib import crc32
+
+import msgspec
+
+from hazelhollow.replica.words import Hand
+
+FORMAT, VERSION = "hazelhollow-replica", 1
+OLDEST = 3600.0  # seconds: older than that nothing in it says anything
+MOST = 5000  # customers, those with the least left
+CHECK = 4  # bytes of the checksum
+
+log = logging.getLogger(__name__)
+
+
+class Left(msgspec.Struct, frozen=True, array_like=True):
+    """A customer: units left of the burst when the snapshot was made, of which some may be owed."""
+
+    key: str
+    plan: str
+    first: int
+    spread: int
+    level: float
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """`at`: Unix seconds."""
+
+    format: str
+    version: int
+    at: float
+    member: int
+    customers: list[Left]
+    hands: list[tuple[str, int, int, int, int]]
+
+    def calls(self) -> list[Hand]:
+        return [Hand(*one) for one in self.hands]
+
+
+class SnapshotError(Exception):
+    """Why a file cannot be used."""
+
+
+def write(snapshot: Snapshot) -> bytes:
+    body = msgspec.msgpack.encode(snapshot)
+    return crc32(body).to_bytes(CHECK, "big") + body
+
+
+def read(data: bytes, member: int, now: float) -> Snapshot:
+    """Raises SnapshotError for what cannot be used."""
+    check, body = data[:CHECK], data[CHECK:]
+    if len(check) < CHECK or crc32(body).to_bytes(CHECK, "big") != check:
+        raise SnapshotError("is spoilt: its checksum does not match")
+    try:
+        one: Snapshot = msgspec.msgpack.decode(body, type=Snapshot)
+    except msgspec.DecodeError as error:
+        raise SnapshotError(f"is of another form: {error}") from None
+    if (one.format, one.version) != (FORMAT, VERSION):
+        raise SnapshotError(f"is {one.format} version {one.version}; this one reads {FORMAT} version {VERSION}")
+    if one.member != member:
+        raise SnapshotError(f"is member {one.member}'s")
+    if now - one.at > OLDEST:
+        raise SnapshotError(f"is {now - one.at:.0f} s old")
+    return one
+
+
+class File:
+    """One limiter's snapshot in a folder that outlives it."""
+
+    def __init__(self, folder: Path, member: int) -> None:
+        self.path, self.member = folder / f"replica-{member}", member
+        self._said = False
+
+    def load(self, now: float) -> Snapshot | None:
+        """Nothing where there is none, or where it was set aside."""
+        try:
+            return read(self.path.read_bytes(), self.member, now)
+        except FileNotFoundError:
+            return None
+        except (OSError, SnapshotError) as error:
+            aside = self.path.with_name(self.path.name + ".bad")
+            log.warning("snapshot %s %s; it is set aside as %s", self.path, error, aside.name)
+            try:
+                os.replace(self.path, aside)
+            except OSError as trouble:
+                log.warning("snapshot %s cannot be set aside: %s", self.path, trouble)
+            return None
+
+    def save(self, snapshot: Snapshot) -> None:
+        """A disk that is full costs the snapshot and nothing else: the old one stays."""
+        part = self.path.with_name(f"{self.path.name}.{os.getpid()}.part")
+        try:
+            part.write_bytes(write(snapshot))
+            os.replace(part, self.path)
+            self._said = False
+        except OSError as error:
+            if not self._said:
+                log.error("snapshot %s cannot be written: %s", self.path, error)
+            self._said = True
--- a/hazelhollow/rig/commands.py
+++ b/hazelhollow/rig/commands.py
@@ -27,7 +27,10 @@
     "--state", type=click.Path(path_type=Path), default=None, metavar="DIR", help="Where the fleet's files are; else in the temporary folder."
 )
 
-plain_option = click.option("--plain", is_flag=True, help="Without an operator file: the program as the platform runs it.")
+with_option = click.option(
+    "--with", "what", type=click.Choice(["nothing", "view", "replica", "disk"]), default="replica", show_default=True,
+    help="What limiters have beyond the platform's: nothing; the view of the fleet; what they keep alike too; and a disk.",
+)  # fmt: skip
 
 
 @click.group("fleet")
@@ -49,9 +52,9 @@
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(1, 64))
 @click.option("--hosts", default=2, show_default=True, type=click.IntRange(1, 32))
 @click.option("--operator", type=click.Path(exists=True, path_type=Path), help="An operator file that all limiters get.")
-@plain_option
+@with_option
 @state_option
-def up(instances: int, hosts: int, operator: Path | None, plain: bool, state: Path | None) -> None:
+def up(instances: int, hosts: int, operator: Path | None, what: str, state: Path | None) -> None:
     """Start limiters n0, n1, ..., hosts h0, h1, ... and discovery d, and stay until Ctrl-C or `down`."""
     folder = state or default_state()
     try:
@@ -59,7 +62,7 @@
     except FileExistsError:
         _fail(f"{folder} is there already: a fleet is up, or the folder is another's")
     text = operator.read_text() if operator else ""
-    files = None if plain else (lambda *_: text) if operator else view_file
+    files = (lambda *_: text) if operator else WITH[what]
     try:
         one = control.Supervisor(plan.Plan(name="up", instances=instances, hosts=hosts), folder, files)
         one.run(_show_ready)
@@ -163,7 +166,7 @@
 @seconds_option
 @json_option
 @keep_option
-@plain_option
+@with_option
 @click.option("--show", is_flag=True, help="Print the plan and do nothing.")
 def drill(
     name: str | None,
@@ -172,7 +175,7 @@
     seconds: float | None,
     file: str | None,
     keep: Path | None,
-    plain: bool,
+    what: str,
     show: bool,
 ) -> None:
     """Play a plan of faults on a fleet under load and check what came of it from outside.
@@ -189,7 +192,7 @@
     if show:
         click.echo(plan.write(one).decode())
         return
-    _finish(_play(one, keep, plain), file)
+    _finish(_play(one, keep, what), file)
 
 
 def _plan(name: str | None, seed: int | None, instances: int | None, seconds: float | None) -> plan.Plan:
@@ -206,25 +209,25 @@
 @click.argument("source", metavar="FILE", type=click.Path(exists=True, path_type=Path))
 @json_option
 @keep_option
-@plain_option
-def replay(source: Path, file: str | None, keep: Path | None, plain: bool) -> None:
+@with_option
+def replay(source: Path, file: str | None, keep: Path | None, what: str) -> None:
     """Play the plan of an earlier drill again, from the file that `--json` wrote. Exit status as for `drill`."""
-    _finish(_play(_earlier(source), keep, plain), file)
+    _finish(_play(_earlier(source), keep, what), file)
 
 
 @fleet.command("shrink")
 @click.argument("source", metavar="FILE", type=click.Path(exists=True, path_type=Path))
 @click.option("--trials", default=20, show_default=True, type=click.IntRange(1, 1000), help="Drills at most.")
 @json_option
-@plain_option
-def shrink_(source: Path, trials: int, file: str | None, plain: bool) -> None:
+@with_option
+def shrink_(source: Path, trials: int, file: str | None, what: str) -> None:
     """Find a smaller plan that breaks the same promise. Exit status 0: found. 1: the plan did not fail again."""
     one = _earlier(source)
-    broken = _broken(_play(one, None, plain)["figures"])
+    broken = _broken(_play(one, None, what)["figures"])
     if not broken:
         click.echo("the plan breaks nothing this time", err=True)
         sys.exit(1)
-    smaller, made = shrink.shrink(one, lambda p: bool(broken & _broken(_play(p, None, plain)["figures"])), trials)
+    smaller, made = shrink.shrink(one, lambda p: bool(broken & _broken(_play(p, None, what)["figures"])), trials)
     click.echo(f"{len(one.events)} events became {len(smaller.events)} in {made} drills; it still breaks {', '.join(sorted(broken))}", err=True)
     text = plan.write(smaller)
     if file and file != "-":
@@ -240,7 +243,7 @@
 @click.option("--rounds", default=5, show_default=True, type=click.IntRange(1, 100))
 def cost_(instances: int, rate: float, seconds: float, rounds: int) -> None:
     """CPU a request and memory without an operator file, with a bare one, and with the view, in runs that take turns."""
-    ways: dict[str, cost.Operator | None] = {"plain": None, "operator file": cost.quiet_file, "view": view_file}
+    ways: dict[str, cost.Operator | None] = {"plain": None, "operator file": cost.quiet_file, "view": view_file, "replica": replica_file}
     try:
         found = cost.cost(instances, rate, seconds, rounds, ways, _progress())
     except (world.RigError, OSError) as error:
@@ -265,13 +268,26 @@
     return f'package operator\nlog: format: "console"\nfleet: view_file: "{home.parent / name}.view.jsonl"\n'
 
 
-def _play(one: plan.Plan, keep: Path | None, plain: bool) -> dict[str, Any]:
+def replica_file(name: str, home: Path) -> str:
+    """The same, with what limiters keep alike."""
+    return view_file(name, home) + "fleet: replicate: {}\n"
+
+
+def disk_file(name: str, home: Path) -> str:
+    """The same, with a folder that outlives the process."""
+    return view_file(name, home) + f'fleet: replicate: state_dir: "{home}"\n'
+
+
+WITH: dict[str, cost.Operator | None] = {"nothing": None, "view": view_file, "replica": replica_file, "disk": disk_file}
+
+
+def _play(one: plan.Plan, keep: Path | None, what: str) -> dict[str, Any]:
     try:
         plan.check(one)
         if keep:
             keep.mkdir(parents=True)
         folder = keep or Path(tempfile.mkdtemp(prefix="hazelhollow-drill-"))
-        figures = Drill(one, folder, _progress(), None if plain else view_file, keep is not None).run()
+        figures = Drill(one, folder, _progress(), WITH[what], keep is not None).run()
     except (plan.PlanError, world.RigError, OSError) as error:
         _fail(str(error))
     return {"figures": figures, "plan": orjson.loads(plan.write(one))}
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import replace
 from zlib import crc32
 
@@ -26,21 +27,57 @@
 
 
 class Totals:
-    """Charges by period, this one and the last: this gateway's own and those heard of others'."""
+    """Charges by period, this one and the last: this gateway's own and those heard of others'. Where counts are kept, also
+    what the periods before those come to."""
 
-    __slots__ = ("period", "charged", "heard")
+    __slots__ = ("period", "since", "knows", "charged", "closed", "last", "fresh", "heard", "bases")
 
     def __init__(self, period: int) -> None:
-        self.period = period
+        self.period, self.since, self.closed, self.last = period, 0, 0.0, 0  # the last period in which it charged
+        self.knows = 0  # since when it hears of all charges, or was told of them
+        self.fresh: set[str] = set()  # lives, or nothing for the own, of which a period has closed that had charges
         self.charged: dict[int, float] = {}
         self.heard: dict[tuple[str, int], float] = {}  # by peer's life and period
+        self.bases: dict[str, tuple[int, int, float]] | None = None  # by peer's life: since, through, what came to be known
 
     def turn(self, period: int) -> None:
         if period > self.period:
-            self.period = period
+            self.period, self.since, self.knows = period, self.since or period, self.knows or period
+            if self.bases is not None:
+                self._close(period - 1, self.bases)
             self.charged = {k: v for k, v in self.charged.items() if k >= period - 1}
             self.heard = {k: v for k, v in self.heard.items() if k[1] >= period - 1}
 
+    def _close(self, least: int, bases: dict[str, tuple[int, int, float]]) -> None:
+        """The periods before that one get no more charges."""
+        for period, total in self.charged.items():
+            if period < least and total:
+                self.closed, self.last = self.closed + total, max(self.last, period)
+                self.fresh.add("")
+        for (who, period), total in self.heard.items():
+            if period < least and total:
+                since, through, known = bases.get(who, (0, 0, 0.0))
+                bases[who] = since, max(through, period), known + total
+                self.fresh.add(who)
+
+    def told(self, who: str, since: int, through: int, total: float) -> float:
+        """A peer's count of closed periods, whatever way it came; what it adds. What gossip told is part of it; of one that
+        began before this gateway knew the customer the first word adds nothing."""
+        assert self.bases is not None
+        base = self.bases.get(who)
+        if base and since < base[0]:
+            return 0.0  # old word
+        begun, before, known = base or (0, 0, 0.0)
+        heard = sum(v for (peer, period), v in self.heard.items() if peer == who and period <= through)
+        if begun and since > begun:
+            known, before = 0.0, 0  # the peer had let the customer go and counts anew
+        more = total - known - heard
+        if more <= 0 and through <= before and begun == since:
+            return 0.0
+        self.heard = {k: v for k, v in self.heard.items() if k[0] != who or k[1] > through}
+        self.bases[who] = since, max(through, before), max(total, known + heard)
+        return max(more, 0.0) if begun or since >= self.knows else 0.0
+
     def charge(self, units: float, period: int) -> float:
         """What it changes. What is given back belongs to its charge's period: no total falls below nothing."""
         before = self.charged.get(period, 0.0)
@@ -49,7 +86,7 @@
 
     def hear(self, life: str, period: int, total: float) -> float:
         """What it changes. A repeated total changes nothing, and the next one heals a lost one."""
-        if period < self.period - 1:
+        if period < self.period - 1 or (self.bases and period <= self.bases.get(life, (0, 0, 0.0))[1]):
             return 0.0
         before, self.heard[life, period] = self.heard.get((life, period), 0.0), total
         return total - before
@@ -147,17 +184,24 @@
 
     __slots__ = (
         "plan", "used", "open", "budget", "told", "telling", "ceiling", "totals", "theirs", "first", "spread", "hubs",
-        "kept",
+        "kept", "owed", "aside", "apart", "apart_at", "back", "copied",
     )  # fmt: skip
 
-    def __init__(self, plan: api.Plan, level: float, born: float, now: float, whole: bool) -> None:
+    def __init__(
+        self, plan: api.Plan, level: float, born: float, now: float, whole: bool, keeps: bool = False
+    ) -> None:
         self.plan, self.used, self.open = plan, now, 0
         self.budget = Store(plan.rate, plan.burst, level, now)
         self.told, self.telling = Store(plan.rate, plan.burst, plan.burst, now), False
         # Empty at the start, unless it is known that nobody was there before: an earlier life of this gateway may
         # have spent it.
         self.ceiling, self.totals = Store(0.0, 0.0, plan.ceiling_burst if whole else 0.0, born), Totals(0)
+        self.totals.bases = {} if keeps else None
         self.theirs: dict[int, tuple[float, int]] = {}  # when peers told how many requests they had open
+        # Where counts are kept: units to be paid back; what was left to each member that could not be heard; who those are,
+        # since when that was reckoned up, and when one that is back was heard again; whether a peer told it all.
+        self.owed, self.aside, self.apart, self.apart_at = 0.0, dict[int, float](), frozenset[int](), born
+        self.back, self.copied = dict[int, float](), False
         self.kept = False  # its quota is kept elsewhere: what peers charge is counted there
         self.first, self.spread = 0, 0  # the set, once a request or a charge has named it
         self.hubs: list[int] = []  # those of the set that hear every charge
@@ -178,23 +222,73 @@
             heard = [n for n in self.members(told.gateways) if n not in lost]
             self.hubs = [heard[(number + place) % len(heard)] for place in range(min(hubs, len(heard)))]
 
+    def hubs_hear(self, me: int) -> bool:
+        """Whether that member hears every charge: else it is told the level."""
+        return len(self.hubs) == self.spread or me in self.hubs
+
     def members(self, gateways: int) -> list[int]:
         return [(self.first + place) % gateways for place in range(self.spread)]
 
-    def leave_to(self, lost: frozenset[int], gateways: int) -> None:
+    def fill(self, now: float, pay_back: float, period: int) -> float:
+        """Units left; what is owed is paid with so much of the rate."""
+        self.totals.turn(period)
+        passed = max(0.0, now - self.budget.at)
+        self.budget.fill(now)
+        if self.owed > 0:
+            paid = min(self.owed, pay_back * self.plan.rate * passed)
+            self.owed, self.budget.level = self.owed - paid, self.budget.level - paid
+        return self.budget.level
+
+    def _set_aside(self, apart: frozenset[int], scaled: float, now: float) -> None:
+        """What is left to those that cannot be heard: their part of what comes in, and, of those that have only just
+        gone, of what there was."""
+        for number in self.apart:
+            self.aside[number] += self.plan.rate / self.spread * (now - self.apart_at)
+        new = apart - self.apart
+        for number in new:
+            self.aside[number] = self.aside.get(number, 0.0) + scaled / len(new)
+            self.back.pop(number, None)
+        for number in self.apart - apart:
+            self.back[number] = now
+        self.apart, self.apart_at = apart, now
+
+    def missed(self, number: int, units: float) -> None:
+        """What a member charged without its being heard: first of what was left to it; the rest is paid back."""
+        left = min(max(units, 0.0), self.aside.get(number, 0.0))
+        if left:
+            self.aside[number] -= left
+        self.owed += max(units - left, 0.0)
+        self.budget.level -= min(units, 0.0)  # it charged less than was said
+
+    def give_back(self, now: float, settled: float, away: frozenset[int]) -> None:
+        """What was left to members that are back, and which their counts do not show to be used."""
+        for number, at in list(self.back.items()):
+            if number not in away and now - at >= settled:
+                del self.back[number]
+                self.budget.level = min(self.budget.most, self.budget.level + self.aside.pop(number, 0.0))
+
+    def leave_to(self, lost: frozenset[int], gateways: int, now: float) -> None:
         """The even part of those that cannot be heard is theirs, of the rate and of what has come in; what comes back with
         them is not more than what has been kept here. Not where going over earns more than it costs."""
         lost = lost if self.plan.over_cost > self.plan.over_worth else frozenset()
         part = 1.0 - len(lost.intersection(self.members(gateways))) / max(self.spread, 1) if lost else 1.0
-        rate = self.plan.rate * part
+        rate, before = self.plan.rate * part, self.budget.level
         if rate < self.budget.rate and self.budget.level > 0:
             self.budget.level *= rate / self.budget.rate
+        if self.totals.bases is not None and self.spread:
+            self._set_aside(lost.intersection(self.members(gateways)), before - self.budget.level, now)
         self.budget.rate, self.budget.most = rate, self.plan.burst * part
 
-    def share_of(self, unused: tuple[tuple[int, float], ...], gateways: int) -> float:
-        """Units of this customer in those seconds of members' parts."""
-        members = self.members(gateways) if unused else []
-        return sum(self.plan.rate * seconds / self.spread for number, seconds in unused if number in members)
+    def reclaim(self, unused: tuple[tuple[int, float], ...], gateways: int) -> float:
+        """Units of this customer in those seconds of members' parts; where counts are kept, of what was left to them."""
+        members, found = self.members(gateways) if unused else [], 0.0
+        for number, seconds in unused:
+            share = self.plan.rate * seconds / self.spread if number in members else 0.0
+            if share and self.totals.bases is not None:
+                share = min(share, self.aside.get(number, 0.0))
+                self.aside[number] = self.aside.get(number, 0.0) - share
+            found += share
+        return found
 
     def share_ceiling(self, spread: int) -> None:
         self.ceiling.rate, self.ceiling.most = self.plan.ceiling_rate / spread, self.plan.ceiling_burst / spread
@@ -313,6 +407,7 @@
         self.back: dict[str, float] = {}  # servers put back by hand, and when: they start cold then
         self.dirty: dict[int, dict[tuple[str, int], str]] = {}  # by whom to tell: customer, period, word
         self.booked: dict[str, None] = {}  # customers charged since the last renewal
+        self.keeps, self.known_from = False, math.inf  # counts are kept; since when it knows of every customer's use
         self.late: dict[str, float] = {}  # news that the first hub should have told, and since when
         self.lives: dict[int, str] = {}  # peers met at the start, and when they began
         self.failed: dict[tuple[str, int], float] = {}  # servers' failures seen here, and when
@@ -353,13 +448,117 @@
         """`direct`: members of the largest set without hubs; `hubs`: of a larger one."""
         self.acting, lost, gateways = event.acting, frozenset(event.lost), self.settings.gateways
         self.away = frozenset(range(gateways)).difference(event.present).union(event.deaf)
-        changed, self.lost = lost != self.lost, lost
+        changed, self.lost, self.keeps = lost != self.lost, lost, event.keeps
         for key, account in self.accounts.items() if changed or event.unused else ():
             account.budget.fill(self.now)
             if account.spread > direct:
                 account.place(account.first, account.spread, self.settings, int(key, 36), hubs, lost)
-            account.leave_to(lost, gateways)
-            account.budget.level += account.share_of(event.unused, gateways)
+            account.leave_to(lost, gateways, self.now)
+            account.budget.level += account.reclaim(event.unused, gateways)
+
+    # Counts, where they are kept
+
+    def closed(self) -> list[api.Action]:
+        """At a renewal: the counts that have grown by periods that get no more charges. Others' too, as they were heard: of
+        one that has died nobody else can tell them, and of one that lives they are what it tells itself."""
+        found = list[api.Action]()
+        for key, account in self.accounts.items() if self.keeps else ():
+            totals = account.totals
+            if totals.bases is None or not account.spread:
+                continue
+            totals.turn(self.period)
+            fresh, totals.fresh = totals.fresh, set()
+            for who in fresh:
+                count = self._own_count(account) if not who else self._heard_count(account, who)
+                if count.since:
+                    count = count._replace(first=0.0, second=0.0)
+                    found.append(api.Closed(key, account.plan.name, account.first, account.spread, count))
+        return found
+
+    def _own_count(self, account: Account) -> api.Count:
+        t, period = account.totals, self.period
+        recent = t.charged.get(period - 1, 0.0), t.charged.get(period, 0.0)
+        return api.Count(self.settings.me, self.life, t.since, t.last or t.since, t.closed, *recent)
+
+    def _heard_count(self, account: Account, who: str) -> api.Count:
+        t, period, (member, _, life) = account.totals, self.period, who.partition(".")
+        since, through, total = (t.bases or {}).get(who, (0, 0, 0.0))
+        recent = t.heard.get((who, period - 1), 0.0), t.heard.get((who, period), 0.0)
+        return api.Count(int(member), life, since, through, total, *recent)
+
+    def short(self) -> list[str]:
+        """Customers whose budget is not full, those with the least left first."""
+        left = {key: a.budget.fill(self.now) / a.plan.burst for key, a in self.accounts.items() if a.plan.burst and a.spread}
+        return sorted((key for key, share in left.items() if share < 1.0), key=left.__getitem__)
+
+    def copy_of(self, key: str) -> api.Copied | None:
+        """All that is known of a customer, for a peer that has just begun."""
+        a = self.accounts.get(key)
+        if a is None or a.totals.bases is None or not a.spread:
+            return None
+        a.totals.turn(self.period)
+        lives = dict.fromkeys([*a.totals.bases, *(who for who, _ in a.totals.heard)])
+        counts = [self._own_count(a), *(self._heard_count(a, who) for who in lives)]
+        counts.sort(key=lambda c: c.first + c.second, reverse=True)  # what is on its way by gossip too
+        level = (a.budget if a.hubs_hear(self.settings.me) else a.told).fill(self.now) - a.owed
+        level += sum(units for (_, at), units in a.totals.heard.items() if at > self.period)  # of a clock that is ahead: not told
+        return api.Copied(key, a.plan.name, a.first, a.spread, tuple(counts), level, self.period)
+
+    def copied(self, event: api.Copied, make: Callable[[str, api.Plan, int, int], Account], pay_back: float) -> None:
+        """Counts and whole customers, as peers know them."""
+        plan, account = self.plans.get(event.plan_name), self.accounts.get(event.key)
+        if not event.key and self.known_from == math.inf:
+            self.known_from = -math.inf
+            for one in self.accounts.values():  # nobody has used what its cautious beginning left to others
+                one.budget.level += 0.0 if one.copied else one.plan.burst * (1.0 - 1.0 / max(one.spread, 1))
+        if plan is None or not 0 < event.spread <= self.settings.gateways:
+            return
+        if event.level is not None:
+            account = make(event.key, plan, event.first_gateway, event.spread)
+            if not account.copied and account.totals.bases is not None:
+                self._adopt(account, event.counts, event.level, event.period)
+            return
+        for count in event.counts:
+            come_in = 0.0  # again, since it was used
+            if account is None and count.total > plan.rate * (self.now - count.since):
+                account = make(event.key, plan, event.first_gateway, event.spread)
+                account.totals.knows, come_in = count.since, plan.rate * (self.now - count.since)
+            if account and account.totals.bases is not None and account.hubs_hear(self.settings.me):
+                account.fill(self.now, pay_back, self.period)
+                who = f"{count.member}.{count.life}"
+                account.missed(count.member, account.totals.told(who, count.since, count.through, count.total) - come_in)
+
+    def _adopt(self, account: Account, counts: tuple[api.Count, ...], level: float, period: int) -> None:
+        """What the giver knew in that period, less what has come to be known here beyond that."""
+        totals, account.copied = account.totals, True
+        assert totals.bases is not None
+        if not account.hubs_hear(self.settings.me):
+            account.told.level, account.told.at, account.telling = level, self.now, True
+            account.budget.level = min(level, account.budget.most)
+            return
+        own, known, mine = totals.closed + sum(totals.charged.values()), 0.0, f"{self.settings.me}.{self.life}"
+        for count in counts:
+            who = f"{count.member}.{count.life}"
+            if count.since:
+                totals.knows = min(totals.knows, count.since)
+            if who == mine:
+                own -= count.total + count.first + count.second
+                continue
+            since, through, total = totals.bases.get(who, (0, 0, 0.0))
+            base, last = count.total, count.through
+            for at in [at for w, at in totals.heard if w == who and at < period - 1]:  # closed where the giver is
+                through, total = max(through, at), total + totals.heard.pop((who, at))
+            for at, units in ((period - 1, count.first), (period, count.second)):
+                if at < self.period - 1:  # open when the giver told it, closed here
+                    base, last = base + units, at if units else last
+                    continue
+                level -= max(0.0, totals.heard.get((who, at), 0.0) - units)
+                totals.heard[who, at] = max(units, totals.heard.get((who, at), 0.0))
+            known += max(0.0, total - base)  # what has closed here since
+            totals.bases[who] = max(since, count.since), max(through, last), max(total, base)
+        told = {f"{c.member}.{c.life}" for c in counts}
+        more = sum(units for (who, at), units in totals.heard.items() if who not in told or not period - 1 <= at <= period)
+        account.budget.level = min(level - own - known - more, account.budget.most)
 
     def mean_units(self) -> float:
         return sum(self.units.values()) / len(self.units)
@@ -392,8 +591,9 @@
         apart = [gossip.apart(self.life, other) for other in self.lives.values()]
         if len(apart) == self.settings.gateways - 1 and max(apart) <= together:
             self.whole = True
+            part = self.together if self.known_from == math.inf else 0.0  # else it has been told what there is
             for account in self.accounts.values():
-                account.budget.level += account.plan.burst * (1.0 - 1.0 / max(account.spread, 1)) * self.together
+                account.budget.level += account.plan.burst * (1.0 - 1.0 / max(account.spread, 1)) * part
                 account.ceiling.level += account.ceiling.most or account.plan.ceiling_burst
 
     def latest_failed(self, count: int, span: float) -> list[tuple[str, int]]:
@@ -421,10 +621,12 @@
         word = gossip.Charge(key, plan, account.first, account.spread, self.period - period, total, open_now)
         return gossip.write(word)
 
-    def forget(self, least: float) -> None:
-        """Let go of accounts that would have filled up by now anyway. `used` counts charges heard of too: an
+    def forget(self, least: float, settled: float) -> None:
+        """`settled`: seconds after which members that are back have told all. Let go of accounts that would have filled up by now anyway. `used` counts charges heard of too: an
         account that was let go of in between would take a total that is said again for a new one."""
         for key, a in list(self.accounts.items()):
+            if a.back:
+                a.give_back(self.now, settled, self.away)
             unused = self.now - a.used > least + a.plan.ceiling_burst / (a.plan.ceiling_rate or 1.0)
-            if unused and not a.open and a.budget.fill(self.now) >= a.plan.burst:
+            if unused and not a.open and not a.aside and a.budget.fill(self.now) - a.owed >= a.plan.burst:
                 del self.accounts[key]
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,430 @@
+"""Counts that only grow, their merge and exchange, catch-up, hosts put out by hand, and snapshots: the modules alone."""
+
+from __future__ import annotations
+
+import os
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hazelhollow.gossip import base36
+from hazelhollow.replica import exchange, snapshot, words
+from hazelhollow.replica.counts import KEPT_FOR, Book, Row, Value, contradiction, merge
+from hazelhollow.replica.hands import Hands
+from hazelhollow.replica.words import Hand, Recent, Slice
+
+NOW = 1_700_000_000
+values = st.builds(Value, st.integers(NOW - 9, NOW - 7), st.integers(NOW - 6, NOW), st.integers(0, 40), st.integers(0, 1))
+rows = st.builds(Row, st.sampled_from("ab"), st.just("pl"), st.just(0), st.just(3), st.integers(0, 2), st.sampled_from(["l1", "l2"]), values)
+
+
+def book_of(some: list[Row], period: int = NOW) -> Book:
+    book = Book()
+    book.turn(period)
+    for row in some:
+        book.put(row)
+    return book
+
+
+def held(book: Book) -> set[Row]:
+    return {row for key in book.customers for row in book.rows(key)}
+
+
+@given(values, values, values)
+def test_the_merge_of_counts_is_associative_commutative_and_idempotent(a: Value, b: Value, c: Value) -> None:
+    assert merge(a, merge(b, c)) == merge(merge(a, b), c)
+    assert merge(a, b) == merge(b, a) and merge(a, a) == a
+
+
+hands = st.builds(Hand, st.just("h"), st.integers(0, 3), st.integers(0, 1), st.integers(0, 3), st.integers(0, 3))
+
+
+@given(st.lists(hands, min_size=1, max_size=6), st.randoms(use_true_random=False))
+def test_calls_of_operators_end_the_same_in_any_order_and_however_often(calls: list[Hand], chance: random.Random) -> None:
+    one, other = Hands(), Hands()
+    for call in calls:
+        one.put(call)
+    for call in chance.sample([*calls, *calls], 2 * len(calls)):
+        other.put(call)
+    assert one.calls == other.calls and one.digest() == other.digest()
+
+
+@given(st.lists(rows, max_size=20), st.randoms(use_true_random=False))
+def test_books_that_got_the_same_rows_in_any_order_and_doubled_are_the_same(some: list[Row], chance: random.Random) -> None:
+    one, other = book_of(some), book_of(chance.sample([*some, *some], 2 * len(some)))
+    assert held(one) == held(other) and one.sums() == other.sums() and not one.differ(other.sums())
+
+
+@given(st.lists(rows, max_size=20), st.integers(1, KEPT_FOR + 8))
+def test_what_is_folded_in_is_let_go_by_all_at_once_and_is_not_taken_again(some: list[Row], later: int) -> None:
+    early, late = book_of(some), book_of(some, NOW + later)
+    early.turn(NOW + later)
+    assert held(early) == held(late) and early.sums() == late.sums()
+    assert all(row.value.through > NOW + later - KEPT_FOR for row in held(early))
+    for row in some:
+        early.put(row)
+    assert early.sums() == late.sums()
+    early.turn(NOW + 2 * KEPT_FOR)
+    assert not early.customers and early.sums() == Book().sums()
+
+
+@pytest.mark.parametrize(
+    ("one", "other", "why"),
+    [
+        (Value(1, 5, 10), Value(1, 5, 10), ""),
+        (Value(1, 5, 10), Value(1, 6, 10), ""),
+        (Value(1, 5, 10), Value(1, 5, 11), "two histories"),
+        (Value(1, 5, 10), Value(1, 6, 9), "fell"),
+        (Value(1, 5, 10), Value(4, 6, 2), ""),  # let go of, and counted anew
+        (Value(1, 5, 10), Value(1, 6, 9, 0), ""),  # heard, and not all of it
+    ],
+)
+def test_copies_that_cannot_both_be_true_are_told_apart_from_those_that_can(one: Value, other: Value, why: str) -> None:
+    assert contradiction(one, other) == contradiction(other, one) == why
+
+
+def test_contradictions_are_counted_and_settled_by_the_rule_not_by_who_spoke_last() -> None:
+    low, high = (Row("a", "pl", 0, 3, 1, "l1", Value(NOW - 9, NOW - 4, total)) for total in (10, 12))
+    for order in ((low, high), (high, low)):
+        book = book_of(list(order))
+        assert held(book) == {high} and book.troubles == {"two histories": 1}
+    ahead = book_of([Row("a", "pl", 0, 3, 1, "l1", Value(NOW, NOW + 60, 5))])
+    assert not ahead.customers and ahead.troubles == {"from the future": 1}
+
+
+# Words
+
+slices = st.builds(
+    Slice, st.sampled_from(["a1", "zz9"]), st.just("pl"), st.integers(0, 4), st.integers(1, 5), st.integers(0, 9999),
+    st.lists(st.builds(Recent, st.integers(0, 4), st.just("l1"), values.map(lambda value: value._replace(sure=1)), st.integers(0, 99), st.integers(0, 99)), max_size=3).map(tuple),
+)  # fmt: skip
+
+
+@given(slices, st.lists(rows, min_size=1, max_size=3), hands)
+def test_what_is_written_is_read_again(one: Slice, some: list[Row], call: Hand) -> None:
+    line = words.head(words.GIVE, "l1", NOW, (1, 2, 3)) + words.slice_word(one, NOW, 200) + f" {words.NOBODY}"
+    message = words.read(line, 5)
+    assert message is not None and message.slices == (one, None) and message.parts == (1, 2, 3)
+    alike = [row._replace(key="a") for row in some]
+    message = words.read(words.head(words.ROWS, "l1", NOW) + words.row_words(alike, NOW), 5)
+    assert message is not None and list(message.rows) == alike
+    message = words.read(words.head(words.HANDS, "l1", NOW) + words.hand_word(call), 5)
+    assert message is not None and message.hands == (call,)
+
+
+@given(st.text(max_size=60))
+def test_what_is_no_message_is_none(text: str) -> None:
+    assert words.read("c1" + text, 5) is None or text[0] in "rgnhqs"
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "c1r l1/1", "c2r l1/1 ", "c1x l1/1 ", "c1r l1/1  a:pl:0:0:1.l1.1.1.1", "c1r l1/1  a:pl:9:1:1.l1.1.1.1",
+        "c1r l1/1  a:pl:0:1:9.l1.1.1.1", "c1r l1/1  a:pl:0:1:1.l1.1.1", "c1r l1/1  a:pl:0:1:1.l1.-1.1.1", "c1q l1/1 1-2",
+        "c1q l1/1 1-2-3 a", "c1h l1/1  h:1:2:1:1", "c1h l1/1  :1:1:1:1", "c1r " + "l" * 9 + "/1 ", "c1r l1/1 " + " " * 300,
+        "c1g l1/1 1-2-3 a:pl:0:1:1:1.l1.1.1.1.1", "c1r L1/1 ",
+    ],
+)  # fmt: skip
+def test_a_message_that_any_part_of_is_not_so_is_none(text: str) -> None:
+    assert words.read(text, 5) is None
+
+
+# Exchange
+
+
+class Known:
+    """A decision module that knows so many customers."""
+
+    def __init__(self, customers: int = 0) -> None:
+        self.keys = [base36(n + 36**3) for n in range(customers)]
+
+    def learn(self, pieces: list[Slice]) -> None:
+        self.keys += [one.key for one in pieces if one.key not in self.keys]
+
+    def short(self) -> list[str]:
+        return list(self.keys)
+
+    def slice(self, key: str) -> Slice | None:
+        return Slice(key, "pl", 0, 3, 7, (Recent(0, "l0", Value(NOW - 50, NOW - 2, 100), 10, 10),)) if key in self.keys else None
+
+
+class Net:
+    """Exchanges that hear each other, with a clock; what is lost, doubled or late is drawn from a seed."""
+
+    def __init__(self, sources: list[Known], seed: int = 1, lose: float = 0.0, double: float = 0.0, whole: tuple[int, ...] = (0, 1)) -> None:
+        self.random, self.now, self.lose, self.double = random.Random(seed), float(NOW), lose, double
+        self.all = [exchange.Exchange(n, len(sources), f"l{n}", seed + n, source) for n, source in enumerate(sources)]
+        for number in whole:
+            self.all[number].whole, self.all[number].told_by = True, number
+        self.up = set(range(len(sources)))
+        self.cut: Callable[[int, int], bool] = lambda a, b: False
+        self.deaf = self.cut
+        self.got: list[list[Slice]] = [[] for _ in sources]
+        self.bytes = self.most = 0
+
+    def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> float:
+        began = self.now
+        while self.now < began + seconds and not until():
+            self.now += exchange.BEAT
+            for one in self.all:
+                if one.me in self.up:
+                    self.carry(one.me, one.beat(self.now, sorted(n for n in self.up if n != one.me and not self.cut(one.me, n))))
+        return self.now - began
+
+    def carry(self, source: int, sends: list[exchange.Send]) -> None:
+        """Datagrams and what they bring about, in an order drawn by chance."""
+        waiting = [(source, send) for send in sends]
+        while waiting:
+            a, send = waiting.pop(self.random.randrange(len(waiting)))
+            self.most = max(self.most, len(send.text))
+            self.bytes += len(send.text)
+            if send.number not in self.up or self.cut(a, send.number) or self.deaf(a, send.number) or self.random.random() < self.lose:
+                continue
+            if self.random.random() < self.double:
+                waiting.append((a, send))
+            one = self.all[send.number]
+            waiting += [(one.me, answer) for answer in one.heard(a, send.text, self.now)]
+            pieces, one.slices = [piece for piece, _ in one.slices], []
+            self.got[one.me] += pieces
+            if isinstance(one.source, Known):
+                one.source.learn(pieces)
+
+    def same(self) -> bool:
+        return len({tuple(one.book.sums()) for one in self.all if one.me in self.up}) == 1
+
+
+def charge(net: Net, number: int, key: str, total: int, through: int = NOW - 2) -> Row:
+    row = Row(key, "pl", 0, 3, number, f"l{number}", Value(NOW - 30, through, total))
+    net.all[number].book.turn(NOW)
+    net.all[number].charged(row)
+    return row
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.integers(0, 1000), st.sampled_from([0.0, 0.1, 0.3]))
+def test_books_that_differ_are_brought_together_through_loss_and_doubling(seed: int, lose: float) -> None:
+    net = Net([Known() for _ in range(4)], seed, lose, double=0.2, whole=(0, 1, 2, 3))
+    told = {charge(net, n, base36(36**2 + k), 10 * k + n) for n in range(4) for k in range(12)}
+    net.run(30.0, net.same)
+    assert [held(one.book) for one in net.all] == [told] * 4 and net.most <= words.MOST_BYTES
+
+
+def test_what_was_charged_while_two_parts_could_not_hear_each_other_is_told_by_any_that_knows_it() -> None:
+    net = Net([Known() for _ in range(3)], whole=(0, 1, 2))
+    net.cut = lambda a, b: {a, b} == {0, 2}  # these two never hear each other
+    row = charge(net, 0, "a", 40)
+    net.run(20.0, net.same)
+    assert held(net.all[2].book) == {row}
+
+
+def test_a_member_that_is_back_is_told_at_once_and_not_when_chance_comes_to_it() -> None:
+    net = Net([Known() for _ in range(12)], whole=tuple(range(12)))
+    net.up.discard(11)
+    row = charge(net, 0, "a", 40)
+    net.run(10.0)
+    net.up.add(11)
+    net.all[0].returned(11)
+    net.run(exchange.BEAT)
+    assert held(net.all[11].book) == {row}
+
+
+def test_nothing_is_sent_for_what_is_alike_but_digests() -> None:
+    net = Net([Known() for _ in range(3)], whole=(0, 1, 2))
+    charge(net, 0, "a", 40)
+    net.run(10.0, net.same)
+    net.run(2.0)
+    before = net.bytes
+    net.run(10.0)
+    assert net.bytes - before < 3 * 10 * (1 / (exchange.BEAT * exchange.SYNC_EVERY)) * words.MOST_BYTES
+
+
+@settings(max_examples=12, deadline=None)
+@given(st.integers(0, 1000), st.sampled_from([0.0, 0.1, 0.3]), st.integers(0, 400))
+def test_one_that_begins_is_told_of_every_customer_once_through_loss_and_doubling(seed: int, lose: float, customers: int) -> None:
+    net = Net([Known(customers), Known(customers), Known()], seed, lose, double=0.2)
+    new = net.all[2]
+    net.run(120.0, lambda: new.whole)
+    assert new.whole and (new.told_by is not None)
+    assert sorted(one.key for one in net.got[2]) == sorted(net.all[0].source.short())
+
+
+def test_a_giver_that_dies_half_way_is_followed_by_another() -> None:
+    net = Net([Known(3000), Known(3000), Known()])
+    new = net.all[2]
+    net.run(30.0, lambda: len(net.got[2]) > 200)
+    assert new._fetch is not None and not new.whole
+    net.up.discard(new._fetch.giver)
+    net.run(60.0, lambda: new.whole)
+    assert new.whole and {one.key for one in net.got[2]} == set(net.all[0].source.short())
+
+
+def test_a_giver_that_says_nothing_is_given_up_for_another() -> None:
+    net = Net([Known(30), Known(30), Known()])
+    silent = 1
+    net.deaf = lambda a, b: a == silent and b == 2  # it hears and is not heard, though it is there
+    net.all[2].random = random.Random(next(s for s in range(99) if random.Random(s).choice([0, 1]) == silent))
+    net.run(20.0, lambda: net.all[2].whole)
+    assert net.all[2].told_by == 0 and net.all[2].counts["givers lost"] == 1
+
+
+def test_ten_that_begin_at_once_are_all_told() -> None:
+    net = Net([Known(500)] + [Known() for _ in range(10)], lose=0.1, whole=(0,))
+    net.run(60.0, lambda: all(one.whole for one in net.all))
+    assert all(len({one.key for one in got}) == 500 for got in net.got[1:])
+
+
+def test_where_nobody_is_whole_all_are_after_asking_each_other() -> None:
+    net = Net([Known() for _ in range(4)], whole=())
+    net.run(10.0, lambda: all(one.whole for one in net.all))
+    assert all(one.whole and one.told_by is None for one in net.all)
+
+
+def test_one_that_meets_nobody_is_whole_after_a_while_and_not_before() -> None:
+    net = Net([Known(), Known()], whole=())
+    net.up = {0}
+    net.run(exchange.ALONE - exchange.BEAT)
+    assert not net.all[0].whole
+    net.run(2.0)
+    assert net.all[0].whole
+
+
+def test_one_that_is_not_whole_gives_nothing() -> None:
+    net = Net([Known(5), Known()], whole=())
+    answer = net.all[0].heard(1, words.head(words.ASK, "l1", NOW, (7, 0, 96)), NOW)
+    assert [send.text for send in answer] == [words.head(words.NOT_WHOLE, "l0", NOW, (7,))]
+
+
+def test_one_that_nobody_could_tell_gives_nothing_until_it_has_been_there_for_a_while() -> None:
+    net = Net([Known(5), Known(), Known()], whole=())
+    net.up = {0}
+    net.run(exchange.ALONE + 1.0)
+    assert net.all[0].whole and not net.all[0].gives()
+    net.up = {0, 1}
+    net.run(1.5, lambda: net.all[1].whole)
+    assert net.all[1].told_by is None
+    net.run(exchange.GIVES_AFTER)
+    net.up = {0, 2}
+    net.run(5.0, lambda: net.all[2].whole)
+    assert net.all[2].told_by == 0
+
+
+def test_one_that_began_from_its_snapshot_gives_at_once() -> None:
+    net = Net([Known(5), Known(), Known()], whole=())
+    net.all[0].whole = net.all[0].restored = True
+    net.run(2.0, lambda: net.all[1].whole)
+    assert net.all[1].told_by == 0
+
+
+def test_what_a_giver_sends_a_second_is_bounded() -> None:
+    net = Net([Known(4000), Known()], whole=(0,))
+    asked = words.head(words.ASK, "l1", NOW, (7, 0, 96))
+    sent = sum(len(net.all[0].heard(1, asked, NOW + 1)) for _ in range(100))
+    assert sent <= exchange.GIVES_AT_ONCE
+
+
+def test_a_customer_that_the_giver_has_let_go_meanwhile_leaves_no_gap() -> None:
+    net = Net([Known(40), Known(), Known()], whole=(0,))
+    source = net.all[0].source
+    assert isinstance(source, Known)
+    listed = source.short()
+    source.short = lambda: listed  # type: ignore[method-assign]
+    source.keys = source.keys[::2]
+    net.run(5.0, lambda: net.all[1].whole)
+    assert net.all[1].whole and {one.key for one in net.got[1]} == set(listed[::2])
+
+
+def test_nobody_else_adds_to_a_members_own_count() -> None:
+    net = Net([Known(), Known(), Known()])
+    charge(net, 0, "a", 40)
+    for life, counted in (("l0", 1), ("old", 1)):
+        text = words.head(words.ROWS, "l1", NOW) + words.row_words([Row("a", "pl", 0, 3, 0, life, Value(NOW - 30, NOW - 1, 99))], NOW)
+        net.all[0].heard(1, text, NOW)
+        assert net.all[0].counts["own count told greater"] == counted
+    # Its own earlier life's count is as good as anybody's.
+    assert {row.life: row.value.total for row in held(net.all[0].book)} == {"l0": 40, "old": 99}
+
+
+@pytest.mark.parametrize("text", ["c1r nonsense", "v1p 1", "c1q l1/1 1-2"])
+def test_what_cannot_be_read_is_dropped_and_counted(text: str) -> None:
+    net = Net([Known(3), Known()])
+    assert net.all[0].heard(1, text, NOW) == [] and net.all[0].counts["garbled"] == 1
+
+
+# Hosts put out by hand
+
+
+def test_a_call_reaches_all_and_what_holds_after_a_split_follows_from_the_rule() -> None:
+    net = Net([Known() for _ in range(4)], whole=(0, 1, 2, 3))
+    net.carry(0, net.all[0].call("h1", True, net.now))
+    net.run(10.0, lambda: all(one.hands.out() == {"h1": True} for one in net.all))
+    net.cut = lambda a, b: (a < 2) != (b < 2)
+    net.carry(0, net.all[0].call("h2", True, net.now - 500.0))  # its clock is behind
+    net.carry(3, net.all[3].call("h1", False, net.now + 500.0))
+    net.carry(3, net.all[3].call("h2", True, net.now))
+    net.carry(3, net.all[3].call("h2", False, net.now))  # made after having seen that it was out: goes on
+    net.cut = lambda a, b: False
+    net.run(20.0, lambda: len({one.hands.digest() for one in net.all}) == 1)
+    assert [one.hands.out() for one in net.all] == [{"h1": False, "h2": False}] * 4
+
+
+def test_of_two_calls_made_at_once_the_one_that_puts_the_host_out_holds_whatever_the_clocks_say() -> None:
+    out, back = Hand("h", 2, 1, 5, 0), Hand("h", 2, 0, 900, 3)
+    for order in ((out, back), (back, out)):
+        one = Hands()
+        for call in order:
+            one.put(call)
+        assert one.out() == {"h": True}
+
+
+def test_a_call_that_changes_nothing_is_none() -> None:
+    one = Hands()
+    assert one.call("h", False, 1.0, 0) is None and one.call("h", True, 1.0, 0) and one.call("h", True, 2.0, 0) is None
+
+
+# Snapshots
+
+KEPT = snapshot.Snapshot(
+    snapshot.FORMAT, snapshot.VERSION, float(NOW), 2, [snapshot.Left("a", "gold", 0, 3, 12.5)], [("h", 1, 1, 5, 0)]
+)
+
+
+def test_a_snapshot_is_read_as_it_was_written(tmp_path: Path) -> None:
+    file = snapshot.File(tmp_path, 2)
+    assert file.load(NOW) is None
+    file.save(KEPT)
+    assert file.load(NOW + 1.0) == KEPT and KEPT.calls() == [Hand("h", 1, 1, 5, 0)]
+    assert os.listdir(tmp_path) == ["replica-2"]
+
+
+@pytest.mark.parametrize(
+    ("data", "says"),
+    [
+        (b"", "spoilt"),
+        (snapshot.write(KEPT)[:-1], "spoilt"),
+        (snapshot.write(KEPT).replace(b"gold", b"golf"), "spoilt"),
+        (snapshot.write(snapshot.Snapshot("other", 1, NOW, 2, [], [])), "other"),
+        (snapshot.write(snapshot.Snapshot(snapshot.FORMAT, 2, NOW, 2, [], [])), "version 2"),
+        (snapshot.write(snapshot.Snapshot(snapshot.FORMAT, 1, NOW, 1, [], [])), "member 1"),
+        (snapshot.write(snapshot.Snapshot(snapshot.FORMAT, 1, NOW - 7200.0, 2, [], [])), "7200 s old"),
+        (b"\x8b\x98w\x07abc", "spoilt"),
+    ],
+)
+def test_a_spoilt_or_old_snapshot_is_set_aside_and_said_and_is_not_fatal(
+    data: bytes, says: str, tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    file = snapshot.File(tmp_path, 2)
+    file.path.write_bytes(data)
+    assert file.load(NOW) is None and says in caplog.text
+    assert os.listdir(tmp_path) == ["replica-2.bad"]
+
+
+def test_a_disk_that_takes_nothing_is_said_once_and_costs_the_snapshot_alone(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    file = snapshot.File(tmp_path / "absent", 2)
+    file.save(KEPT)
+    file.save(KEPT)
+    assert caplog.text.count("cannot be written") == 1 and file.load(NOW) is None
--- /dev/null
+++ b/tests/test_replica_bench.py
@@ -0,0 +1,80 @@
+"""The model of all that can happen to counts finds what is planted and nothing else; catch-up, measured, tells all once."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from hazelhollow.bench import model, replica
+from hazelhollow.bench.commands import bench
+from hazelhollow.rig import plan
+from hazelhollow.rig.commands import _earlier
+
+CHARGE, TURN, COUNTS = ("charge", 0), ("turn",), ("counts", 0, 1)
+FAST = model.Bounds(charges=1, sends=2, turns=3, crashes=0, copies=0, depth=9)
+
+
+@pytest.mark.parametrize(
+    "bounds",
+    [model.Bounds(depth=5), model.Bounds(charges=1, sends=1, turns=2, copies=0, depth=7), FAST, model.Bounds(members=3, lags=0, copies=0, depth=4)],
+)
+def test_in_every_order_up_to_these_bounds_each_charge_counts_once(bounds: model.Bounds) -> None:
+    found = model.explore(bounds)
+    assert found.why == "" and found.states > 100
+
+
+LATE = model.Bounds(members=3, turns=4, copies=0, lags=0, depth=12)
+PLANTED = [
+    ("late gossip counts beside its count", FAST, ()),
+    ("a count forgets what gossip told", FAST, ()),
+    ("who spoke last is right", LATE, (CHARGE, TURN, TURN, COUNTS, CHARGE, TURN, TURN)),
+    ("catch-up forgets what was charged meanwhile", model.Bounds(depth=4), ()),
+]
+
+
+@pytest.mark.parametrize(("name", "bounds", "first"), PLANTED)
+def test_planted_mistakes_are_found_and_become_plans(name: str, bounds: model.Bounds, first: tuple[model.Step, ...], tmp_path: Path) -> None:
+    with model.planted(name):
+        found = model.explore(bounds, first=first)
+    assert found.why and len(found.steps) <= bounds.depth
+    drill = model.as_plan(bounds, found.steps, found.why)
+    plan.check(drill)
+    (tmp_path / "plan.json").write_bytes(plan.write(drill))
+    assert _earlier(tmp_path / "plan.json") == drill
+    with pytest.raises(model.Broken), model.planted(name):  # the same steps break it again, and only with the mistake
+        model.play(bounds, found.steps).check()
+        model.play(bounds, found.steps).finish()
+    model.play(bounds, found.steps).check()
+
+
+def test_the_command_says_what_broke_and_how(tmp_path: Path) -> None:
+    words = ["model", "--depth", "4", "--plant", "catch-up forgets what was charged meanwhile", "--plan", str(tmp_path / "p.json")]
+    result = CliRunner().invoke(bench, words)
+    assert result.exit_code == 1 and "crash" in result.output and plan.read((tmp_path / "p.json").read_bytes()).events
+    result = CliRunner().invoke(bench, ["model", "--depth", "3"])
+    assert result.exit_code == 0 and "counts once" in result.output
+
+
+@pytest.mark.parametrize("lose", [0.0, 0.3])
+def test_catch_up_tells_of_every_customer_once(lose: float) -> None:
+    found = replica.catch_up(300, lose, seed=1)
+    assert found["told"] == 300 and found["seconds"] < replica.LONGEST
+
+
+def test_what_a_member_sends_does_not_grow_with_the_fleet() -> None:
+    few, many = (replica.steady(members, 50, seed=1, seconds=10)["bytes"] for members in (4, 16))
+    assert many < 2.5 * few
+
+
+def test_a_count_is_kept_in_few_bytes() -> None:
+    assert replica.memory(300) <= 300
+
+
+def test_the_commands_figures_are_json_and_bad_words_are_said() -> None:
+    result = CliRunner().invoke(bench, ["replica", "--customers", "50", "--lose", "0", "--fleets", "3", "--seeds", "1"])
+    assert result.exit_code == 0 and json.loads(result.output)["catch_up"][0]["told"] == 50
+    result = CliRunner().invoke(bench, ["replica", "--customers", "x"])
+    assert result.exit_code == 2
--- /dev/null
+++ b/tests/test_replica_module.py
@@ -0,0 +1,322 @@
+"""What the decision module does with counts that are told again: nothing twice, nothing forgotten."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hazelhollow import gossip
+from hazelhollow import interface as api
+from hazelhollow.decide import PAY_BACK, RECKONED, Gateway
+from hazelhollow.state import Account, Totals
+from tests.scenario import PLAN, SETTINGS
+from tests.test_gateway import ask, entry, servers
+
+SLOW = replace(PLAN, name="slow", rate=0.001, burst=1000.0, over_cost=1.0)  # nothing comes in while a test lasts
+FAST = replace(PLAN, name="fast", rate=20.0, burst=40.0, over_cost=1.0)
+BEAT = 0.1
+
+
+class Cluster:
+    """Real modules on a clock set by hand. Each datagram is delivered at once or lost, as the test says; the counts that
+    they close are kept, to be told when the test says."""
+
+    def __init__(self, members: int = 3, plan: str = "slow") -> None:
+        self.now, self.plan, self.charged = 1000.0, plan, 0.0
+        self.all = [self._gateway(n, members) for n in range(members)]
+        self.closed: dict[tuple[str, int, str], api.Closed] = {}
+        self.heard: set[tuple[int, int]] = {(a, b) for a in range(members) for b in range(members)}
+        for one in self.all:
+            one.handle(api.Copied(""), self.now)
+
+    def _gateway(self, me: int, members: int) -> Gateway:
+        settings_ = replace(SETTINGS, me=me, gateways=members, plans=(SLOW, FAST), peers=True, messages_in_per_s=1000.0)
+        one = Gateway(settings_, seed=me)
+        one.handle(servers("full", *(entry(f"s{n}") for n in range(6))), self.now)
+        one.handle(self.view(members), self.now)
+        return one
+
+    def view(self, members: int, lost: tuple[int, ...] = ()) -> api.Fleet:
+        return api.Fleet(True, tuple(n for n in range(members) if n not in lost), lost=lost, keeps=True)
+
+    def ask(self, number: int, customer: str = "c") -> bool:
+        served = False
+        actions = ask(self.all[number], self.now, "look", plan_name=self.plan, customer=customer, spread=len(self.all))
+        for action in actions:
+            if isinstance(action, api.Send):
+                self.all[number].handle(api.Outcome(action.id, 0, action.server, "ok", 0.01, True), self.now)
+                served, self.charged = True, self.charged + 1.0
+        self.carry(number, actions)
+        return served
+
+    def carry(self, number: int, actions: list[api.Action]) -> None:
+        for action in actions:
+            if isinstance(action, api.Tell) and (number, action.gateway) in self.heard:
+                self.all[action.gateway].handle(api.PeerMessage(number, action.text), self.now)
+            elif isinstance(action, api.Closed):
+                known = self.closed.setdefault((action.key, action.told.member, action.told.life), action)
+                if action.told.total > known.told.total:
+                    self.closed[action.key, action.told.member, action.told.life] = action
+
+    def beat(self, seconds: float = BEAT) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += BEAT
+            for number, one in enumerate(self.all):
+                self.carry(number, one.handle(api.Timer("beat"), self.now))
+
+    def tell(self, number: int) -> None:
+        """All that others have closed."""
+        for (_, member, life), action in list(self.closed.items()):
+            if (member, life) != (number, self.all[number].life):
+                event = api.Copied(action.key, action.plan_name, action.first_gateway, action.spread, (action.told,))
+                self.all[number].handle(event, self.now)
+
+    def left(self, number: int) -> float:
+        account = next(iter(self.all[number].accounts.values()))
+        return account.budget.level - account.owed
+
+
+steps = st.lists(
+    st.tuples(st.sampled_from(["ask", "beat", "second", "tell", "cut", "heal"]), st.integers(0, 2), st.integers(0, 2)), max_size=40
+)
+
+
+@settings(max_examples=120, deadline=None)
+@given(steps)
+def test_whatever_is_lost_or_told_again_each_charge_counts_once_in_the_end(plan: list[tuple[str, int, int]]) -> None:
+    one = Cluster()
+    for number in range(3):
+        one.ask(number)  # all know the customer from here on
+    for what, a, b in plan:
+        if what == "ask":
+            one.ask(a)
+        elif what == "beat":
+            one.beat()
+        elif what == "second":
+            one.beat(1.0)
+        elif what == "tell":
+            one.tell(a)
+        elif what == "cut":
+            one.heard -= {(a, b)}
+        else:
+            one.heard |= {(a, b)}
+        for number in range(3):  # never more than what was charged in all
+            assert one.left(number) >= 1000.0 - one.charged - 0.1
+    one.heard = set()  # gossip tells nothing any more: the counts must do
+    one.beat(4.0)
+    for number in range(3):
+        one.tell(number)
+        one.tell(number)
+        assert one.left(number) == pytest.approx(1000.0 - one.charged, abs=0.1)
+
+
+def test_without_the_counts_what_was_lost_stays_lost() -> None:
+    """The check above can fail."""
+    one = Cluster()
+    one.heard = set()
+    for number in (0, 1, 1):
+        one.ask(number)
+    one.beat(4.0)
+    assert one.left(0) == pytest.approx(999.0, abs=0.1)
+    one.tell(0)
+    assert one.left(0) == pytest.approx(997.0, abs=0.1)
+
+
+def newcomer(one: Cluster, number: int) -> Gateway:
+    one.all[number] = one._gateway(number, len(one.all))
+    return one.all[number]
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 3), st.integers(0, 3), st.integers(0, 3), st.booleans(), st.sampled_from([0.1, 0.6, 1.1, 2.5]))
+def test_one_that_begins_anew_takes_over_what_a_peer_knows_while_charges_go_on(
+    before: int, between: int, after: int, own: bool, wait: float
+) -> None:
+    one = Cluster()
+    for number in (0, 1, 2):
+        one.ask(number)
+    for _ in range(before):
+        one.ask(1)
+    one.beat(wait)
+    new = newcomer(one, 2)
+    if own:
+        one.ask(2)  # of its cautious share
+    for _ in range(between):
+        one.ask(0)
+    one.beat()
+    whole = one.all[1].copy_of(next(iter(one.all[1].accounts)))
+    for _ in range(after):
+        one.ask(0)
+    one.beat()  # gossip goes on while the piece is on its way
+    assert whole is not None and whole.level is not None
+    new.handle(whole, one.now)
+    new.handle(whole, one.now)  # doubled
+    assert one.left(2) == pytest.approx(1000.0 - one.charged, abs=0.1)
+    one.ask(0)
+    one.heard = set()
+    one.beat(4.0)
+    one.tell(2)
+    assert one.left(2) == pytest.approx(1000.0 - one.charged, abs=0.1)
+
+
+def test_what_one_that_died_had_charged_is_told_by_those_who_heard_it() -> None:
+    one = Cluster()
+    for number in range(3):
+        one.ask(number)
+    one.beat(3.0)
+    one.tell(0)  # the count itself, by which it is known since when it runs
+    one.heard -= {(1, 2)}
+    one.ask(1)
+    one.beat()
+    one.all[1] = one._gateway(1, 3)  # its own count dies with it
+    one.all[1].life = "zzz"
+    one.beat(4.0)
+    assert one.left(2) == pytest.approx(997.0, abs=0.1)
+    one.tell(2)
+    assert one.left(2) == pytest.approx(996.0, abs=0.1)
+
+
+def test_a_customer_that_no_peer_knew_of_has_its_whole_burst_once_one_is_whole() -> None:
+    one = Cluster(plan="fast")
+    new = newcomer(one, 2)
+    assert one.ask(2, "early")
+    account = next(iter(new.accounts.values()))
+    assert account.budget.level < 40.0 / 3
+    new.handle(api.Copied(""), one.now)
+    one.ask(2, "late")
+    assert list(new.accounts.values())[1].budget.level == 39.0
+
+
+def test_what_a_member_used_of_what_was_left_to_it_is_not_taken_again_and_the_rest_comes_back() -> None:
+    one = Cluster(plan="fast")
+    for number in range(3):
+        one.ask(number)
+    one.beat()
+    key = next(iter(one.all[0].accounts))
+    account = one.all[0].accounts[key]
+    level = account.budget.level
+    one.heard = set()
+    one.all[0].handle(one.view(3, lost=(2,)), one.now)
+    assert account.aside == {2: pytest.approx(level / 3, abs=0.1)}
+    one.beat(3.0)
+    one.all[0].handle(one.view(3), one.now)
+    kept = account.aside[2]
+    assert kept == pytest.approx(level / 3 + 20.0 / 3 * 3.0, abs=1.0)
+    life, through = one.all[2].life, one.all[0].period - 2
+    known = sum(v for (who, _), v in account.totals.heard.items() if who == f"2.{life}") + account.totals.bases[f"2.{life}"][2]  # type: ignore[index]
+    one.all[0].handle(api.Copied(key, "fast", 0, 3, (api.Count(2, life, 1000, through, known + 10.0),)), one.now)
+    assert account.aside[2] == pytest.approx(kept - 10.0) and account.owed == 0.0
+    account.budget.level = 0.0
+    one.beat(RECKONED + 1.0)
+    assert not account.aside and not account.back
+    assert account.budget.level == pytest.approx(40.0, abs=0.1)  # what came in, and what was left aside, to the burst
+
+
+def test_what_went_over_is_paid_back_in_time_and_not_by_refusing_all() -> None:
+    one = Cluster(plan="fast")
+    for number in range(3):
+        one.ask(number)
+    one.beat(1.0)
+    account = next(iter(one.all[0].accounts.values()))
+    account.missed(1, 30.0)
+    account.budget.level, account.budget.at = 0.0, one.now
+    served = 0
+    for _ in range(40):  # four seconds in which all that can be had is asked for
+        one.now += BEAT
+        served += sum(one.ask(0) for _ in range(5))
+    assert account.owed == 0.0
+    assert served == pytest.approx(4.0 * 20.0 - 30.0, abs=2.0)
+    assert PAY_BACK < 1.0
+
+
+def test_a_member_that_dies_for_good_takes_no_more_than_its_part_with_it() -> None:
+    one = Cluster(plan="fast")
+    one.ask(0)
+    account = next(iter(one.all[0].accounts.values()))
+    one.all[0].handle(one.view(3, lost=(2,)), one.now)
+    one.all[0].handle(api.Fleet(True, (0, 1), keeps=True), one.now + 5.0)  # taken over: it is not there, and not lost
+    one.now += 5.0
+    one.beat(RECKONED + 1.0)
+    assert account.aside and account.back  # not given back while nobody has heard what it used
+    one.all[0].handle(one.view(3), one.now)
+    one.beat(1.0)
+    assert not account.aside
+
+
+def test_counts_of_a_customer_that_is_not_known_here_matter_only_while_its_burst_is_not_full_again() -> None:
+    one = Cluster(plan="fast")
+    for age, total, left in ((10, 30.0, None), (1, 35.0, 25.0)):
+        key, since = gossip.base36(36**4 + age), int(one.now) - age
+        one.all[0].handle(api.Copied(key, "fast", 0, 3, (api.Count(1, "xy", since, since, total),)), one.now)
+        account = one.all[0].accounts.get(key)
+        assert (account is None) == (left is None)
+        if account and left is not None:
+            assert account.budget.level - account.owed == pytest.approx(left, abs=0.1)
+
+
+@pytest.mark.parametrize("change", [{"plan_name": "gone"}, {"spread": 0}, {"spread": 9}])
+def test_a_copy_that_these_settings_do_not_know_changes_nothing(change: dict[str, object]) -> None:
+    one = Cluster()
+    event = api.Copied("abc", "slow", 0, 3, (api.Count(1, "xy", 999, 999, 10.0),), 5.0)
+    one.all[0].handle(event._replace(**change), one.now)  # type: ignore[arg-type]
+    assert not one.all[0].accounts
+
+
+def test_in_a_large_set_the_hubs_reckon_and_the_others_go_by_what_they_are_told() -> None:
+    one = Cluster(12, "fast")
+    one.ask(0)
+    key = next(iter(one.all[0].accounts))
+    hubs = one.all[0].accounts[key].hubs
+    hub, other = hubs[0], next(n for n in range(12) if n not in hubs)
+    for number in (hub, other):
+        one.ask(number)
+        before = one.left(number) if number == hub else 0.0
+        one.all[number].handle(api.Copied(key, "fast", 0, 12, (api.Count(11, "xy", 1000, 1000, 9.0),)), one.now)
+        account = one.all[number].accounts[key]
+        if number == hub:
+            assert account.budget.level - account.owed == pytest.approx(before - 9.0)
+        else:
+            assert account.owed == 0.0
+    new = newcomer(one, other)
+    new.handle(api.Copied(key, "fast", 0, 12, (), 5.0), one.now)
+    assert new.accounts[key].budget.level == 5.0 and new.accounts[key].telling
+
+
+def test_the_platforms_own_path_keeps_no_counts() -> None:
+    one = Gateway(replace(SETTINGS, plans=(SLOW, FAST)), seed=1)
+    one.handle(servers("full", entry("s1")), 1000.0)
+    ask(one, 1000.1, "look", plan_name="slow")
+    for turn in range(40):
+        assert not [a for a in one.handle(api.Timer("beat"), 1000.1 + turn / 10) if isinstance(a, api.Closed)]
+    account = next(iter(one.accounts.values()))
+    assert account.totals.bases is None and not account.aside and one.copy_of(next(iter(one.accounts))) is None
+
+
+def test_a_word_that_is_older_than_what_is_known_changes_nothing() -> None:
+    totals = Totals(0)
+    totals.bases = {}
+    totals.turn(100)
+    assert totals.told("1.x", 100, 104, 9.0) == 9.0
+    assert totals.told("1.x", 100, 103, 7.0) == 0.0 and totals.told("1.x", 99, 110, 50.0) == 0.0
+    assert totals.told("1.x", 100, 105, 11.0) == 2.0
+    assert totals.told("1.x", 108, 108, 1.0) == 1.0  # counted anew
+    totals.turn(109)
+    assert totals.hear("1.x", 108, 1.0) == 0.0  # gossip that comes after the count that it is part of
+    assert totals.hear("1.x", 109, 1.0) == 1.0
+
+
+def test_an_account_that_owes_or_has_something_aside_is_not_let_go() -> None:
+    one = Cluster(plan="fast")
+    one.ask(0)
+    account: Account = next(iter(one.all[0].accounts.values()))
+    account.aside[1] = 3.0
+    one.now += 30.0
+    one.beat(2.0)
+    assert one.all[0].accounts
+    account.aside = {}
+    one.beat(2.0)
+    assert not one.all[0].accounts
--- /dev/null
+++ b/tests/test_replica_processes.py
@@ -0,0 +1,141 @@
+"""What real processes keep alike while they are killed, cut off and started again, and what quotas make of it."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hazelhollow.net import scheduler as sch
+from hazelhollow.rig import plan
+from hazelhollow.rig.commands import NEVER, disk_file, replica_file
+from hazelhollow.rig.drill import Drill
+from hazelhollow.rig.world import World
+from hazelhollow.standins.relay import Fault
+from tests.test_fleet_processes import Fleet
+
+Event = plan.Event
+
+
+class Kept(Fleet):
+    """With calls at the operator addresses, from tasks of the rig's own scheduler."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self.answers: dict[int, bytes] = {}
+
+    def call(self, name: str, words: str) -> bytes:
+        number = len(self.answers)
+
+        def ask() -> None:
+            self.answers[number] = self.world.call(name, words)
+
+        self.scheduler.spawn(ask)
+        self.until(lambda: number in self.answers)
+        return self.answers[number]
+
+    def replica(self, name: str) -> dict[str, Any]:
+        first = self.call(name, "fleet").splitlines()
+        found: dict[str, Any] = json.loads(first[0])["replica"] if len(first) == 2 else {}
+        return found
+
+    def out(self) -> list[list[str] | None]:
+        return [self.replica(name).get("hosts_out") for name in self.world.names if self.world.crew.members[name].running]
+
+    def apart(self, some: tuple[str, ...]) -> int:
+        rest = [name for name in self.world.names if name not in some]
+        return self.world.relay.begin(Fault(cut=True), [pair for a in some for b in rest for pair in ((a, b), (b, a))])
+
+
+@pytest.fixture
+def kept(tmp_path: Path) -> Any:
+    (tmp_path / "fleet").mkdir()
+    four = plan.Plan(name="x", instances=4, hosts=2)
+    one = Kept(World(sch.Scheduler(sch.Clock()), four, tmp_path / "fleet", operator=disk_file))
+    one.until(lambda: one.whole() and all(one.replica(name).get("whole") for name in one.world.names))
+    yield one
+    one.world.close()
+
+
+def test_a_host_put_out_at_one_limiter_is_out_at_all_also_at_those_that_were_dead_or_cut_off(kept: Kept) -> None:
+    kept.world.crew.kill("n3")
+    number = kept.apart(("n2",))
+    assert kept.call("n0", "set-down h1").startswith(b"done")
+    kept.until(lambda: kept.replica("n1").get("hosts_out") == ["h1"])
+    assert kept.replica("n2").get("hosts_out") == []
+    kept.world.crew.start("n3")
+    kept.until(lambda: kept.replica("n3").get("hosts_out") == ["h1"])
+    kept.world.relay.end(number)
+    kept.until(lambda: kept.out() == [["h1"]] * 4)
+    # What is called after having seen the other call holds, wherever it is made.
+    assert kept.call("n2", "set-up h1").startswith(b"done")
+    kept.until(lambda: kept.out() == [[]] * 4)
+    # All killed at once: the snapshots hold it.
+    assert kept.call("n2", "set-down h0").startswith(b"done")
+    kept.until(lambda: kept.out() == [["h0"]] * 4)
+    snapshots = [kept.folder / name / f"replica-{n}" for n, name in enumerate(kept.world.names)]
+    kept.until(lambda: all(path.exists() and b"h0" in path.read_bytes() for path in snapshots))
+    for name in kept.world.names:
+        kept.world.crew.kill(name)
+    for name in kept.world.names:
+        kept.world.crew.start(name)
+    kept.until(lambda: kept.out() == [["h0"]] * 4)
+
+
+def test_operators_at_both_sides_of_a_split_end_with_the_host_out(kept: Kept) -> None:
+    kept.call("n0", "set-down h1")
+    kept.until(lambda: kept.out() == [["h1"]] * 4)
+    number = kept.apart(("n0", "n1"))
+    kept.call("n0", "set-up h1")
+    kept.call("n2", "set-up h1")
+    kept.call("n2", "set-down h1")  # that side goes one call further
+    kept.call("n0", "set-up h0")  # changes nothing
+    kept.call("n1", "set-down h0")
+    kept.world.relay.end(number)
+    kept.until(lambda: kept.out() == [["h0", "h1"]] * 4)
+
+
+def test_one_that_was_killed_is_told_by_a_peer_and_says_so(kept: Kept) -> None:
+    kept.until(lambda: all(kept.replica(name).get("gives") for name in kept.world.names))
+    first = kept.world.crew.members["n1"].log.read_text().count("told by member")
+    kept.world.crew.kill("n1")
+    kept.world.crew.start("n1")
+    kept.until(lambda: kept.world.crew.members["n1"].log.read_text().count("told by member") > first)
+    kept.until(lambda: bool(kept.replica("n1").get("whole")))
+
+
+def test_a_spoilt_snapshot_is_set_aside_and_the_limiter_serves(kept: Kept) -> None:
+    kept.world.crew.kill("n1")
+    (kept.folder / "n1" / "replica-1").write_bytes(b"spoilt")
+    kept.world.crew.start("n1")
+    kept.until(lambda: kept.call("n1", "check").startswith(b"done"))
+    assert (kept.folder / "n1" / "replica-1.bad").read_bytes() == b"spoilt"
+    assert "set aside" in kept.world.crew.members["n1"].log.read_text()
+
+
+def played(tmp_path: Path, events: tuple[Event, ...], operator: Callable[[str, Path], str], seconds: float = 13.0) -> dict[str, Any]:
+    folder = tmp_path / "drill"
+    folder.mkdir()
+    one = plan.Plan(name="x", instances=5, seconds=seconds, events=events)
+    found = Drill(one, folder, operator=operator).run()
+    promises = [key for key in NEVER if key not in ("false_deaths", "views_differ")]  # those are the view's own tests'
+    assert {key: found[key] for key in promises} == dict.fromkeys(promises, 0)
+    return found
+
+
+def test_quotas_hold_through_two_parts_and_a_member_that_dies_meanwhile(tmp_path: Path) -> None:
+    events = (
+        Event(at=3.0, what="cut", whom=("n0", "n1"), lasts=4.0),
+        Event(at=4.0, what="kill", whom=("n3",), lasts=1.0),
+    )
+    found = played(tmp_path, events, replica_file)
+    assert found["over_quota_units"] <= 12 and found["service_share"] >= 0.85
+
+
+def test_quotas_hold_though_all_are_killed_at_once_and_their_snapshots_say_what_there_was(tmp_path: Path) -> None:
+    events = (Event(at=4.0, what="kill", whom=("*",), lasts=0.3, repeat=3.0, until=8.0),)
+    found = played(tmp_path, events, disk_file)
+    assert found["over_quota_units"] <= 4 and found["service_share"] >= 0.75
