Running limiters tell their audit record; requests are sampled; guards have tests

Found by catch-up on processes at 30% loss: a giver whose gossip was lost for 0.35 s counted as gone, and everything began anew (replica/driver._beat handed the exchange those that are heard instead of those that are there).

--- a/hazelhollow/audit/files.py
+++ b/hazelhollow/audit/files.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+import msgspec
+
 from hazelhollow.audit.record import Entry, unpack
 
 
@@ -13,6 +15,14 @@
     return sorted(folder.rglob("audit-*.seg"), key=lambda path: path.name)
 
 
+def told(answer: bytes) -> list[Entry]:
+    """Of a limiter's answer to `audit`. Raises ValueError for what is none."""
+    text, _, end = answer.rpartition(b"\nend\n")
+    if end or not text:
+        raise ValueError(answer[:80].decode(errors="replace").strip() or "no answer")
+    return msgspec.json.decode(text, type=list[Entry])
+
+
 def entries(folder: Path, trouble: Callable[[str], None], progress: Callable[[int, int], None] = lambda done, of: None) -> Iterator[Entry]:
     """`trouble` gets a line for what cannot be read; `progress`: bytes read so far, and of how many."""
     paths = segments(folder)
--- a/hazelhollow/audit/record.py
+++ b/hazelhollow/audit/record.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Literal
+from typing import Any, Literal
 from zlib import crc32
 
 import msgspec
@@ -21,6 +21,7 @@
 MOST_SEGMENTS = 16
 HEAD = 8  # bytes before an entry: its length and its checksum
 MOST_ENTRY = 1 << 16
+MOST_TOLD, ENTRY_SIZE = 800_000, 200  # bytes of what is told when it is asked for; about that many for an entry
 
 What = Literal["settings", "list", "hands", "program", "ruling", "heard", "second"]
 
@@ -114,13 +115,23 @@
         self._waiting: list[Entry] = []
         self._serial = 0
 
-    def add(self, t: float, what: What, version: str, why: str = "", **more: object) -> None:
+    def add(self, t: float, what: What, version: str, why: str = "", **more: Any) -> None:
         self._serial += 1
-        entry = Entry(t, self.member, self.life, self._serial, what, version, why, **more)  # type: ignore[arg-type]
+        entry = Entry(t, self.member, self.life, self._serial, what, version, why, **more)
         self.kept.append(entry)
         if self._segments:
             self._waiting.append(entry)
 
+    def last(self) -> list[Any]:
+        """The newest entries, as JSON can hold them, within MOST_TOLD bytes or so."""
+        found, size = list[Any](), 0
+        for entry in reversed(self.kept):
+            size += ENTRY_SIZE + 20 * len(entry.samples) + 12 * len(entry.hosts)
+            if size > MOST_TOLD:
+                break
+            found.append(msgspec.to_builtins(entry))
+        return found[::-1]
+
     def flush(self) -> None:
         if self._segments and self._waiting:
             waiting, self._waiting = self._waiting, []
--- a/hazelhollow/fleet/words.py
+++ b/hazelhollow/fleet/words.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from hazelhollow.fleet.records import BUCKETS, LEFT, SUM_RANGE, Record, unpack_address
-from hazelhollow.gossip import base36
+from hazelhollow.gossip import base36, number36
 
 DIALECT = "v1"
 MOST_BYTES = 256
@@ -72,34 +72,25 @@
         kind = head[len(DIALECT) :]
         if len(text) > MOST_BYTES or not head.startswith(DIALECT) or kind not in _PARTS:
             return None
-        numbers = tuple(_number(part, _MOST) for part in parts.split("-")) if parts else ()
+        numbers = tuple(number36(part, _MOST) for part in parts.split("-")) if parts else ()
         if len(numbers) != _PARTS[kind]:
             return None
         if kind in (ASK, INDIRECT, RELAYED) and any(n >= members for n in numbers[1:]):
             return None
-        message = Message(kind, _record(sender, members), _number(serial, _MOST), _number(digest, SUM_RANGE), numbers)
+        message = Message(kind, _record(sender, members), number36(serial, _MOST), number36(digest, SUM_RANGE), numbers)
         return message._replace(records=tuple([_record(word, members) for word in records]))
     except (ValueError, KeyError):
         return None
 
 
-def _number(text: str, most: int) -> int:
-    if not (text.isascii() and text.isalnum() and text == text.lower()):  # int() would read signs, spaces, underscores
-        raise ValueError(text)
-    number = int(text, 36)
-    if number >= most:
-        raise ValueError(text)
-    return number
-
-
 @lru_cache(KEPT)
 def _record(word: str, members: int) -> Record:
     number, life, turn, state, *rest = word.split(".")
-    unheard = tuple(_number(n, members) for n in rest[0].split("-")) if rest and rest[0] else ()
+    unheard = tuple(number36(n, members) for n in rest[0].split("-")) if rest and rest[0] else ()
     versions, address = (*rest[1:], "", "")[:2]
     plain = (versions + address).isascii() and (versions + address + "0").isalnum()
     if len(rest) > 3 or len(unheard) > MOST_UNHEARD or len(versions) > MOST_VERSIONS or not plain:
         raise ValueError(word)
     if address:
         unpack_address(address)
-    return Record(_number(number, members), _number(life, _MOST_LIFE), _number(turn, _MOST), _number(state, LEFT + 1), unheard, versions, address)
+    return Record(number36(number, members), number36(life, _MOST_LIFE), number36(turn, _MOST), number36(state, LEFT + 1), unheard, versions, address)
--- a/hazelhollow/gossip.py
+++ b/hazelhollow/gossip.py
@@ -73,6 +73,16 @@
     return (base36(number // 36) if number >= 36 else "") + _DIGITS[number % 36]
 
 
+def number36(text: str, most: int) -> int:
+    """A number below `most`. Raises ValueError for anything else: int() would read signs, spaces and underscores too."""
+    if not (text.isascii() and text.isalnum() and text == text.lower()):
+        raise ValueError(text)
+    number = int(text, 36)
+    if number >= most:
+        raise ValueError(text)
+    return number
+
+
 def _tenths(value: float) -> str:
     return base36(round(_TENTHS * value))
 
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -67,6 +67,7 @@
         self.peers: Peers | None = None
         self.closed: Callable[[api.Closed], None] | None = None  # who wants the module's own counts
         self.sent: Counter[str] | None = None  # attempts by host, where somebody wants to know
+        self.samples, self.most_samples = list[str](), 0  # and requests among them, so many at most until somebody takes them
         self.open: dict[str, Open] = {}
         self._events: deque[tuple[api.Event, Open | None]] = deque()
         self._busy = False
@@ -245,6 +246,8 @@
             return
         if self.sent is not None:
             self.sent[action.server] += 1
+            if len(self.samples) < self.most_samples:
+                self.samples.append(action.id)
         number, left = len(one.legs), one.deadline - now
         if 0 < action.timeout < left:
             left = action.timeout
--- a/hazelhollow/net/operator.py
+++ b/hazelhollow/net/operator.py
@@ -30,6 +30,9 @@
     def fleet(self) -> dict[str, Any] | None:
         """The view of the fleet, where there is one."""
 
+    def audit(self) -> list[Any] | None:
+        """What this limiter has written down of its acts, where it does."""
+
     def set_down(self, server: str) -> str | None:
         """None, or why it cannot be."""
 
@@ -42,9 +45,9 @@
         return b"done ready\n" if desk.ready() else b"error not ready yet\n"
     if call.verb == "vars":
         return orjson.dumps(desk.figures()) + b"\nend\n"
-    if call.verb == "fleet":
-        shown = desk.fleet()
-        return b"error %b\n" % str(calls.unknown("fleet")).encode() if shown is None else orjson.dumps(shown) + b"\nend\n"
+    if call.verb in ("fleet", "audit"):
+        shown = desk.fleet() if call.verb == "fleet" else desk.audit()
+        return b"error %b\n" % str(calls.unknown(call.verb)).encode() if shown is None else orjson.dumps(shown) + b"\nend\n"
     why = desk.set_down(call.server) if call.verb == "set-down" else desk.set_up(call.server)
     if why:
         return b"error %b\n" % why.encode()
--- a/hazelhollow/operator/attach.py
+++ b/hazelhollow/operator/attach.py
@@ -59,6 +59,10 @@
         counts, self._service.limiter.sent = self._service.limiter.sent or Counter(), Counter()
         return counts
 
+    def samples(self) -> list[str]:
+        found, self._service.limiter.samples = self._service.limiter.samples, []
+        return found
+
 
 class Attached:
     """One limiter's subsystems, from its start to its end. Every call comes from the limiter's own thread."""
@@ -134,7 +138,7 @@
         peers, me, life = service.limiter.peers, service.settings.me, int(service.scheduler.clock() * 1000)
         assert peers is not None
         segments = Segments(Path(terms.state_dir), me, life) if terms.state_dir else None
-        service.limiter.sent = Counter()
+        service.limiter.sent, service.limiter.most_samples = Counter(), terms.samples
         self.audit = AuditDriver(
             service.scheduler, peers, fleet, self.seal, Port(service), lambda: self.order, Record(me, life, segments), self._seed
         )
@@ -157,6 +161,10 @@
             document["audit"] = self.audit.document()
         return document
 
+    def written(self) -> list[Any] | None:
+        """What `call audit` answers."""
+        return self.audit.record.last() if self.audit else None
+
     def called(self, server: str, down: bool) -> None:
         """An operator has put a server out or back at this limiter."""
         if self.replica:
--- a/hazelhollow/operator/records.py
+++ b/hazelhollow/operator/records.py
@@ -65,10 +65,12 @@
 
 
 class Audit(Record, frozen=True):
-    """`order`: of the settings, raised by the operator with each change. A folder that outlives the process, or none."""
+    """`order`: of the settings, raised by the operator with each change. A folder that outlives the process, or none. `samples`:
+    requests that are written down a second."""
 
     order: int = 0
     state_dir: str = ""
+    samples: int = 3
 
 
 class Fleet(Record, frozen=True):
--- a/hazelhollow/operator/schema.cue
+++ b/hazelhollow/operator/schema.cue
@@ -22,6 +22,7 @@
 #Audit: {
 	order:      *0 | int & >=0 & <=46655 // of the settings: raised with each change; SIGHUP reads it again
 	state_dir?: string // a folder that outlives the process: for the record of what it acted on
+	samples:    *3 | int & >=0 & <=3000 // requests a second that are written down by their ids; 3000 is about all
 }
 
 // What each has charged whom, and hosts put out by hand, kept alike at all limiters, with catch-up for one that begins.
--- a/hazelhollow/replica/driver.py
+++ b/hazelhollow/replica/driver.py
@@ -145,7 +145,7 @@
         self._away = away
         if self._memory.life:  # which the first event gives it
             self.exchange.life = self._memory.life
-            self._pass_on(self.exchange.beat(now, sorted(here - away)))
+            self._pass_on(self.exchange.beat(now, sorted(here)))  # also those whose gossip is silent: a catch-up goes on
         if self._file and now - self._saved >= SAVE_EVERY and self.exchange.whole:
             self._saved = now
             self._save()
--- a/hazelhollow/replica/words.py
+++ b/hazelhollow/replica/words.py
@@ -9,10 +9,9 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from functools import lru_cache
 from typing import NamedTuple
 
-from hazelhollow.gossip import base36
+from hazelhollow.gossip import base36, number36
 from hazelhollow.replica.counts import BUCKETS, SUM_RANGE, Row, Value
 
 DIALECT = "c1"
@@ -116,10 +115,10 @@
     try:
         first, own, parts, *rest = text.split(" ")
         life, told = own.split("/")
-        kind, period = first[len(DIALECT) :], _number(told, _MOST)
+        kind, period = first[len(DIALECT) :], number36(told, _MOST)
         if len(text) > MOST_BYTES or not first.startswith(DIALECT) or kind not in _PARTS:
             return None
-        numbers = tuple(_number(part, _MOST) for part in parts.split("-")) if parts else ()
+        numbers = tuple(number36(part, _MOST) for part in parts.split("-")) if parts else ()
         if len(numbers) != _PARTS[kind] or (kind == SUMS and any(n >= SUM_RANGE for n in numbers)):
             return None
         message = Message(kind, _name(life), period, numbers)
@@ -138,16 +137,6 @@
     return f"{base36(max(0, period - value.since))}.{base36(max(0, period - value.through))}.{base36(value.total)}"
 
 
-@lru_cache(4096)
-def _number(text: str, most: int) -> int:
-    if not (text.isascii() and text.isalnum() and text == text.lower()):  # int() would read signs, spaces, underscores
-        raise ValueError(text)
-    number = int(text, 36)
-    if number >= most:
-        raise ValueError(text)
-    return number
-
-
 def _name(text: str) -> str:
     if not 0 < len(text) <= 5 or not (text.isascii() and text.isalnum() and text == text.lower()):
         raise ValueError(text)
@@ -155,14 +144,14 @@
 
 
 def _read_value(since: str, through: str, total: str, period: int) -> Value:
-    return Value(period - _number(since, _MOST), period - _number(through, _MOST), _number(total, _MOST))
+    return Value(period - number36(since, _MOST), period - number36(through, _MOST), number36(total, _MOST))
 
 
 def _customer(key: str, plan: str, first: str, spread: str, members: int) -> tuple[str, str, int, int]:
-    width = _number(spread, members + 1)
+    width = number36(spread, members + 1)
     if width == 0:
         raise ValueError(spread)
-    return _name(key), _name(plan), _number(first, members), width
+    return _name(key), _name(plan), number36(first, members), width
 
 
 def _rows(word: str, period: int, members: int) -> list[Row]:
@@ -174,7 +163,7 @@
         sure = 0 if value[3:] == [HEARD[1:]] else 1
         since, through, total = value if sure else value[:3]
         told = _read_value(since, through, total, period)._replace(sure=sure)
-        found.append(Row(*customer, _number(member, members), _name(life), told))
+        found.append(Row(*customer, number36(member, members), _name(life), told))
     return found
 
 
@@ -184,12 +173,12 @@
     for count in counts.split("-") if counts else ():
         member, life, since, through, total, one, two = count.split(".")
         value = _read_value(since, through, total, period)
-        found.append(Recent(_number(member, members), _name(life), value, _number(one, _MOST), _number(two, _MOST)))
-    return Slice(*_customer(key, plan, first, spread, members), _number(spent, _MOST), tuple(found))
+        found.append(Recent(number36(member, members), _name(life), value, number36(one, _MOST), number36(two, _MOST)))
+    return Slice(*_customer(key, plan, first, spread, members), number36(spent, _MOST), tuple(found))
 
 
 def _hand(word: str, members: int) -> Hand:
     host, order, down, at, member = word.split(":")
     if not 0 < len(host) <= _MOST_NAME or not host.isascii() or not host.isprintable():
         raise ValueError(host)
-    return Hand(host, _number(order, _MOST), _number(down, 2), _number(at, 36**9), _number(member, members))
+    return Hand(host, number36(order, _MOST), number36(down, 2), number36(at, 36**9), number36(member, members))
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -72,8 +72,6 @@
         if begun and since > begun:
             known, before = 0.0, 0  # the peer had let the customer go and counts anew
         more = total - known - heard
-        if more <= 0 and through <= before and begun == since:
-            return 0.0
         self.heard = {k: v for k, v in self.heard.items() if k[0] != who or k[1] > through}
         self.bases[who] = since, max(through, before), max(total, known + heard)
         return max(more, 0.0) if begun or since >= self.knows else 0.0
--- a/tests/test_audit_processes.py
+++ b/tests/test_audit_processes.py
@@ -70,6 +70,17 @@
     assert why[2, 2] == "read again" and why[0, 2].startswith("given by") and not found.findings
 
 
+def test_running_limiters_tell_what_they_have_written_down(audited: Audited) -> None:
+    audited.change("n0", 1)
+    audited.until(lambda: audited.orders() == [1, 1, 1])
+
+    def live() -> merge.Fleet:
+        return merge.merged([entry for name in audited.world.names for entry in files.told(audited.call(name, "audit"))])
+
+    audited.until(lambda: [span.order for one in live().members.values() for span in one.spans] == [0, 1] * 3)
+    assert not live().findings
+
+
 def test_one_that_cannot_take_the_newer_settings_takes_nothing_new_until_it_is_started_again(audited: Audited) -> None:
     audited.change("n0", PLANS_FROM)
     audited.until(lambda: b'"reload_failure":1' in audited.call("n0", "vars"))
--- a/tests/test_replica_module.py
+++ b/tests/test_replica_module.py
@@ -160,6 +160,7 @@
     one.heard = set()
     one.beat(4.0)
     one.tell(2)
+    new.handle(whole._replace(level=500.0), one.now)  # another giver's word, late
     assert one.left(2) == pytest.approx(1000.0 - one.charged, abs=0.1)
 
 
@@ -210,6 +211,8 @@
     known = sum(v for (who, _), v in account.totals.heard.items() if who == f"2.{life}") + account.totals.bases[f"2.{life}"][2]  # type: ignore[index]
     one.all[0].handle(api.Copied(key, "fast", 0, 3, (api.Count(2, life, 1000, through, known + 10.0),)), one.now)
     assert account.aside[2] == pytest.approx(kept - 10.0) and account.owed == 0.0
+    one.beat(1.0)
+    assert account.aside  # more counts may be on their way
     account.budget.level = 0.0
     one.beat(RECKONED + 1.0)
     assert not account.aside and not account.back
@@ -233,6 +236,16 @@
     assert PAY_BACK < 1.0
 
 
+def test_what_is_credited_of_a_dead_members_part_is_no_more_than_was_left_to_it() -> None:
+    one = Cluster(plan="fast")
+    one.ask(0)
+    account = next(iter(one.all[0].accounts.values()))
+    account.aside, account.budget.level = {2: 3.0}, 0.0
+    account.budget.at = one.now
+    one.all[0].handle(api.Fleet(True, (0, 1, 2), unused=((2, 5.0),), keeps=True), one.now)
+    assert account.budget.level == 3.0 and account.aside[2] == 0.0
+
+
 def test_a_member_that_dies_for_good_takes_no_more_than_its_part_with_it() -> None:
     one = Cluster(plan="fast")
     one.ask(0)
@@ -304,6 +317,8 @@
     assert totals.told("1.x", 100, 103, 7.0) == 0.0 and totals.told("1.x", 99, 110, 50.0) == 0.0
     assert totals.told("1.x", 100, 105, 11.0) == 2.0
     assert totals.told("1.x", 108, 108, 1.0) == 1.0  # counted anew
+    # Of one that began before this gateway knew the customer the first word adds nothing: it is part of the beginning.
+    assert totals.told("2.y", 50, 101, 30.0) == 0.0 and totals.told("2.y", 50, 105, 33.0) == 3.0
     totals.turn(109)
     assert totals.hear("1.x", 108, 1.0) == 0.0  # gossip that comes after the count that it is part of
     assert totals.hear("1.x", 109, 1.0) == 1.0
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -486,3 +486,52 @@
         ("lost", "doubled", "untrue_answers", "repeats_not_allowed", "ceilings_passed"), 0
     )
     assert plan.read(json.dumps(found["plan"])).events == events
+
+
+@given(st.integers(0, 500), st.integers(2, 20))
+def test_drawn_changes_are_the_same_for_a_seed_grow_in_order_and_can_be_played(seed: int, instances: int) -> None:
+    one = plan.drawn(seed, instances, changes=True)
+    plan.check(one)
+    assert one == plan.drawn(seed, instances, changes=True) == plan.read(plan.write(one))
+    given_ = [(event.at, int(event.amount)) for event in one.events if event.what == "settings"]
+    assert [order for _, order in sorted(given_)] == [1, 2, 3] and plan.newest_order(one) == 3
+    assert [event for event in plan.drawn(seed, instances).events if event.what in ("settings", "old")] == []
+
+
+def test_a_zone_stands_for_its_limiters_and_hosts() -> None:
+    one = plan.Plan(name="x", instances=4, hosts=3, zones=2, events=(plan.Event(at=1, what="cut", whom=("z1",), lasts=2),))
+    plan.check(one)
+    (event,) = plan.spread_out(one)
+    assert event.whom == ("n2", "n3", "h1")
+    hit = plan.pairs(one, event)
+    assert ("n2", "h0") in hit and ("n0", "n2") in hit and ("h1", "n0") in hit and ("n2", "n3") not in hit
+    with pytest.raises(plan.PlanError, match="z2"):
+        plan.check(plan.Plan(name="x", zones=2, events=(plan.Event(at=1, what="cut", whom=("z2",), lasts=2),)))
+
+
+@pytest.mark.parametrize("amount", [0.0, 0.5])
+def test_settings_of_no_order_are_refused(amount: float) -> None:
+    with pytest.raises(plan.PlanError, match="whole number"):
+        plan.check(plan.Plan(name="x", events=(plan.Event(at=1, what="settings", whom=("n0",), amount=amount),)))
+
+
+def test_who_served_by_old_settings_is_told_from_probes_and_only_after_it_could_hear(tmp_path: Path) -> None:
+    """n1 serves by the old ones for 2 s; n2 was cut off until then; n3 takes nothing new."""
+    rows = {
+        "faults.jsonl": [
+            {"t": 100.0, "what": "load", "until": 120.0, "whom": []},
+            {"t": 105.0, "what": "settings", "whom": ["n0"], "order": 1},
+            {"t": 104.0, "what": "cut", "pairs": [["n2", "n0"], ["n0", "n2"]], "number": 1, "on": True},
+            {"t": 109.0, "what": "cut", "pairs": [["n2", "n0"], ["n0", "n2"]], "number": 1, "on": False},
+        ],
+        "probes.jsonl": [
+            {"t": 106.0, "end": 106.1, "to": "n0", "order": 1, "new": "served", "look": "served"},
+            {"t": 107.0, "end": 107.1, "to": "n1", "order": 1, "new": "unknown", "look": "served"},
+            {"t": 108.0, "end": 108.1, "to": "n2", "order": 1, "new": "unknown", "look": "served"},
+            {"t": 119.0, "end": 119.1, "to": "n3", "order": 1, "new": "unknown", "look": "declined"},
+        ],
+    }
+    for name, lines in rows.items():
+        (tmp_path / name).write_text("\n".join(map(json.dumps, lines)))
+    found = checker.settings(tmp_path, {"instances": 4}, checker.Faults(rows["faults.jsonl"]))
+    assert found == {"acted_on_old_after_s_p99": 2.0, "stragglers": 1}
