--- a/hazelhollow/rig/drill.py
+++ b/hazelhollow/rig/drill.py
@@ -169,7 +169,7 @@
     def _settings(self, event: Event) -> None:
         for name in event.whom:
             self.world.write_files(name, int(event.amount))
-            if self.world.crew.members[name].running:
+            if self.world.crew.members[name].running and name not in self._in_hand:  # one that is starting reads them anyway
                 self.world.crew.signal(name, signal.SIGHUP)
         self._note(what="settings", whom=list(event.whom), order=int(event.amount))
 
