--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -25,13 +25,18 @@
 MOST_BAD = 16  # bad commands in a row, after which the connection ends
 STALL = 10.0  # seconds without a byte taken, after which a client is given up
 WHOLE_WITHIN = 2.0  # seconds that a command may take to come, and a connection to bring its first
-END_WITHIN = 2.0  # seconds that a connection which sent what is no command may wait for answers it is owed
 REST = 10.0  # seconds that a connection may be idle
 LEAST_REST = 0.1  # seconds that it stays in any case, or a client could not use it again
 KEPT_SHARE = 0.25  # of the descriptors: connections that have brought a command. Clients hold a third of the
 # descriptors at most, and many ask once and keep theirs for good; past that others would find none left to ask on.
 BACKLOG = 1024
 ACCEPT_PAUSE = 0.05  # when no descriptor is left
+LINGER = 1.0  # seconds in which a client may end its side of a connection that has been ended here
+LINGER_BYTES = 1 << 20  # that it may still send meanwhile
+MOST_LINGERING = 8  # of these connections beyond the clients' share of the descriptors
+FIRST_WITHIN = 0.25  # seconds in which a new connection's first command may come to a limiter that leaves
+# Endings that owe nothing more: the client has had its answers, and must be able to read them.
+ORDERLY = (Ending.IDLE, Ending.NO_DESCRIPTOR, Ending.SHUTDOWN, Ending.MALFORMED)
 MEMORY_SHARE = 0.25  # of the limit: what all clients together may make this limiter hold
 TIDY = 0.25  # seconds between looks at all connections
 
@@ -154,6 +159,7 @@
         self._parser = resp.Parser()
         self._slots: deque[Slot] = deque()
         self._progress = (0, 0.0)  # bytes taken by the client, and since when
+        self._connected, self._spoke = now, False  # since when, and whether it has ever sent a whole command
         self._begun: float | None = now  # since when a command is awaited: the first, or one of which a part came
         self._more = False  # there may be another whole command among what was read
         self._came = now  # what was read last, which may have to wait here for its turn
@@ -162,7 +168,9 @@
         self._doomed: float | None = None  # since when only what is owed is still answered
         self.idle_since = now
         self.finishing = False
-        self.awaited = False  # its first command is waited for, even by a limiter that leaves
+        self.taking = True  # more commands; else it ends once what was taken is answered
+        self._awaited = 0.0  # until when its first command is waited for, even by a limiter that leaves
+        self._lingers: Ending | None = None  # why it has ended here, while the client may still be sending
 
     def run(self) -> None:
         ending = Ending.BROKEN_HERE
@@ -170,19 +178,48 @@
             ending = self._serve()
         finally:
             self.end(ending)
+            if self._lingers:
+                self._linger()
 
     def end(self, ending: Ending) -> None:
-        self._driver.close(ending)
-        self._acquirer.drop(self)
+        """The one place in which a client's connection ends. To close it over unread bytes, or while some are on
+        their way, would reset it, and the client would lose its last answer: where nothing more is owed the
+        sending side alone is shut, and the session's own task reads on to the client's end."""
+        if self._lingers:
+            return
+        acquirer = self._acquirer
+        acquirer.drop(self)
         slots, self._slots = self._slots, deque()
+        if ending in ORDERLY and not slots:
+            self._driver.end_sending()
+        if ending in ORDERLY and not slots and self._driver.ending is None:
+            self._lingers = ending
+            acquirer.lingers(self)
+            self._driver.wake()
+        else:
+            self._driver.close(ending)
         for slot in slots:
             one, slot.open = slot.open, None
             if one:
-                self._acquirer.limiter.gone(one)
+                acquirer.limiter.gone(one)
+
+    def _linger(self) -> None:
+        """What comes now crossed the end: it is read by nobody, and its client sends it again elsewhere."""
+        self._parser = resp.Parser()  # what it holds is nobody's any more
+        self._driver.drain(LINGER, LINGER_BYTES)
+        self.forgo()
+
+    def forgo(self) -> None:
+        """No more waiting for the client's end."""
+        self._driver.close(self._lingers or Ending.SHUTDOWN)
+        self._acquirer.lingering.pop(self, None)
 
     def resting(self) -> bool:
         """Between requests, so that it may be closed: also none waits unread, which the client would have lost."""
-        return not self.awaited and self._settled() and self._parser.idle() and self._driver.alive()
+        return not self._is_awaited() and self._settled() and self._parser.idle() and self._driver.alive()
+
+    def _is_awaited(self) -> bool:
+        return self._acquirer.scheduler.clock() < self._awaited
 
     def _settled(self) -> bool:
         return not self._slots and not self._driver.out
@@ -191,20 +228,22 @@
         """Bytes in memory on this client's account."""
         return self._parser.held() + len(self._driver.out) + sum([slot.size for slot in self._slots])
 
-    def finish(self) -> None:
-        """To be closed between requests, now or after the last answer."""
-        self.finishing = True
+    def finish(self, taking: bool = True) -> None:
+        """To be closed between requests, now or after the last answer. `taking`: its commands until then."""
+        if not self.finishing and not self._spoke:  # the client has been let in, and may just be sending
+            self._awaited = self._connected + FIRST_WITHIN
+        self.finishing, self.taking = True, self.taking and taking
         self._driver.wake()
 
     def overdue(self, now: float) -> Ending | None:
         """Why it has to go, if it has: who is slow or says nothing must not keep others from a place."""
-        if self._doomed is not None:
-            return Ending.MALFORMED if now - self._doomed >= END_WITHIN else None
         if self._driver.out:
             if self._progress[0] != self._driver.written or not self._progress[1]:
                 self._progress = self._driver.written, now
             if now - self._progress[1] >= STALL:
                 return Ending.STALLED
+        if self._doomed is not None:
+            return None  # each answer that it is owed has a deadline
         if self._begun is not None and now - self._begun >= WHOLE_WITHIN:
             if self.resting():
                 return Ending.IDLE
@@ -245,33 +284,42 @@
 
     def _serve(self) -> Ending:
         driver, clock = self._driver, self._acquirer.scheduler.clock
-        while driver.ending is None:
+        while driver.ending is None and not self._lingers:
             if self._doomed is not None or self.finishing:
                 driver.flush()
                 if self._doomed is not None and self._settled():
                     return Ending.MALFORMED
-                if self.finishing and self.resting():
+                if self.finishing and (self.resting() or (not self._takes() and self._settled())):
                     return Ending.SHUTDOWN
             until, events = None, sch.READ
-            if self._doomed is not None or len(self._slots) >= MOST_PIPELINED or len(driver.out) > MOST_OUT // 2:
+            if not self._takes() or len(self._slots) >= MOST_PIPELINED or len(driver.out) > MOST_OUT // 2:
                 events = 0
             elif self._allowed < 0.0:
                 until, events = self._allowed_at - self._allowed / TURNED_AWAY, 0
             elif self._more:
                 until, events = clock(), 0  # the next turn: others come first
-            bits = driver.wait(until, events)
+            # That the client has gone shows also while nothing is read, or behind what is not read yet.
+            bits = driver.wait(until, events | sch.GONE)
             self.push()
+            if self._lingers:
+                break
             if bits == sch.TIMEOUT:
                 self._refill()
                 self._take(b"")
-            elif bits != sch.WOKEN and bits & (sch.READ | sch.TROUBLE):
+            elif bits != sch.WOKEN and bits & (sch.GONE | sch.TROUBLE):
+                return Ending.CLOSED if bits & sch.GONE else Ending.RESET
+            elif bits != sch.WOKEN and bits & sch.READ:
                 data = driver.read(min(CHUNK, self._parser.ring.room()))
                 if isinstance(data, Ending):
                     return data
                 if data and self._doomed is None:
                     self._came = self._acquirer.scheduler.started_turn
                     self._take(data)
-        return driver.ending
+        return driver.ending or Ending.SHUTDOWN
+
+    def _takes(self) -> bool:
+        """Whether commands are still taken from it."""
+        return self._doomed is None and (self.taking or self._is_awaited())
 
     def _take(self, data: bytes) -> None:
         try:
@@ -307,7 +355,7 @@
             slot = Slot(self)
             self._slots.append(slot)
             self._acquirer.works(self)
-            self._begun, self.awaited = None, False
+            self._begun, self._awaited, self._spoke = None, 0.0, True
             self._command(words, slot)
             if self._bad >= MOST_BAD:
                 # Each bad command has had its answer: one more would be taken for the answer to the next.
@@ -371,6 +419,7 @@
     ) -> None:
         self.scheduler, self.stats, self.limiter, self.terms = scheduler, stats, limiter, terms
         self.sessions: set[Session] = set()
+        self.lingering: dict[Session, None] = {}  # ended here, not yet by their clients; the oldest first
         # Those that may go when room is needed, the longest silent or idle first.
         self._silent: dict[Session, None] = {}  # that have never sent a whole command
         self._idle: dict[Session, None] = {}
@@ -417,18 +466,41 @@
         try:
             sock, _ = self._sock.accept()
         except OSError as error:
-            if error.errno in stream.NO_DESCRIPTOR and not self._spare() and not self._close_idlest():
+            if error.errno in stream.NO_DESCRIPTOR and not self._free_descriptor():
                 self.scheduler.sleep(ACCEPT_PAUSE)  # poll would say at once that a client waits
             return error.errno in stream.NO_DESCRIPTOR
         self.stats.accepted += 1
         # Only now is it known that room is needed; the one that has come must not be the one that goes.
         if len(self.sessions) >= self._most:
             self._close_idlest()
+        self._begin(sock)
+        return True
+
+    def _begin(self, sock: socket.socket) -> Session:
         session = Session(self, stream.Stream(self.scheduler, sock, MOST_OUT))
         self.sessions.add(session)
         self._silent[session] = None
         self.scheduler.spawn(session.run, name="session")
-        return True
+        self._bound_lingering()
+        return session
+
+    def lingers(self, session: Session) -> None:
+        """It has ended here. It holds a descriptor until the client ends it too, so their number has a bound."""
+        self.lingering[session] = None
+        self._bound_lingering()
+
+    def _bound_lingering(self) -> None:
+        while self.lingering and len(self.sessions) + len(self.lingering) > self._most + MOST_LINGERING:
+            next(iter(self.lingering)).forgo()
+
+    def _free_descriptor(self) -> bool:
+        """Of a connection that nobody needs: one ended here, an idle one to an issuer host, an idle client's."""
+        if not self.lingering and self._spare():
+            return True
+        if self.lingering or self._close_idlest():
+            next(iter(self.lingering)).forgo()
+            return True
+        return False
 
     def _close_idlest(self) -> bool:
         """Those that have not said a word go first: a usual client speaks as soon as it is connected."""
@@ -484,10 +556,14 @@
             self.stats.relieved += 1
             session.end(Ending.STALLED)
 
-    def finish(self) -> None:
-        """Sessions end between requests; new ones are still taken."""
+    def finish(self, taking: bool = True) -> None:
+        """Sessions end between requests; new ones are still taken, and commands of those that have not ended too."""
         for session in list(self.sessions):
-            session.finish()
+            session.finish(taking)
+
+    def empty(self) -> bool:
+        """Nobody is owed an answer, and nobody is still reading one."""
+        return not self.sessions and not self.lingering
 
     def close(self) -> None:
         """What waits in the listener's queue is taken in the same turn in which it closes: closed with it, each of
@@ -498,11 +574,6 @@
             except OSError:
                 break
             self.stats.accepted += 1
-            session = Session(self, stream.Stream(self.scheduler, sock, MOST_OUT))
-            self.sessions.add(session)
-            self._silent[session] = None
-            session.awaited = True  # its client has been let in and is owed an answer to what it sends
-            session.finish()
-            self.scheduler.spawn(session.run, name="session")
+            self._begin(sock).finish()
         self.scheduler.forget(self._sock.fileno())
         self._sock.close()
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -105,11 +105,15 @@
         return sum([not one.answered for one in self.open.values()])
 
     def gone(self, one: Open) -> None:
-        """The client has left: nothing is owed any more."""
+        """The client has left: nothing is owed any more. What has not gone out whole can be begun by no host yet,
+        however long its connection takes to come up, and never will be."""
         if not one.answered:
             self._stats.clients_gone += 1
             one.answered = True
             self._handle(api.ClientGone(one.id), one)
+            for leg in one.legs:
+                if leg.line and not leg.line.whole():
+                    self._issuers.give_up(leg, Ending.CANCELLED)
 
     # Everything else that happens
 
--- a/hazelhollow/net/operator.py
+++ b/hazelhollow/net/operator.py
@@ -18,6 +18,7 @@
 OUT_WITHIN = 0.4  # seconds in which the caller is to take the answer
 MOST_CALLERS = 32  # connections at once; one more ends the oldest
 MOST_OUT = 1 << 20
+MOST_DRAINED = 1 << 16  # bytes behind the call, which nobody reads
 
 log = logging.getLogger(__name__)
 
@@ -83,9 +84,12 @@
         try:
             ending = self._serve(driver)
         finally:
-            self._callers.pop(driver, None)
             self._stats.operator_endings[ending] += 1
+            if driver.ending is None and not driver.out:  # it may have said more than its call
+                driver.end_sending()
+                driver.drain(OUT_WITHIN, MOST_DRAINED)
             driver.close(ending)
+            self._callers.pop(driver, None)
 
     def _serve(self, driver: stream.Stream) -> Ending:
         until, parser = self._scheduler.clock() + WITHIN, calls.Parser()
--- a/hazelhollow/net/scheduler.py
+++ b/hazelhollow/net/scheduler.py
@@ -14,6 +14,7 @@
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 TROUBLE = select.POLLERR | select.POLLHUP | select.POLLNVAL
+GONE = select.POLLRDHUP  # the other side has ended its sending, also where bytes lie before that end
 TIMEOUT, WOKEN = 0, -1  # what `wait` gives beside poll's bits
 LONGEST = 1.0  # seconds in poll at most
 STILL = 0.5  # seconds by which poll must come back late for the process to have stood still
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -26,7 +26,7 @@
 
 READY_WITHIN = 0.5  # seconds: then it serves with the list it knows, though discovery has not answered
 LEAVE_AFTER = 0.5  # seconds past SIGTERM: clients come for up to 0.4 s; then connections end between requests
-STAY = 0.9  # seconds past SIGTERM that it serves at least
+STAY = 0.7  # seconds past SIGTERM: what comes later might not be answered before SIGKILL, and is taken by nobody
 STEP = 0.02
 BANS_EVERY = 0.25  # seconds between looks at the file of bans, which a process beside this one may have changed
 RESERVE = 32  # descriptors for all that is neither a client's nor an issuer host's
@@ -204,16 +204,15 @@
         """Serves on for a while, answers all that was taken, then ends the loop."""
         if not self.leaving:
             self.leaving = True
-            self.scheduler.spawn(self._leave, name="leave")
+            self.scheduler.spawn(self._leave, self.scheduler.clock(), name="leave")
 
-    def _leave(self) -> None:
-        began = self.scheduler.clock()
-        self.scheduler.sleep(LEAVE_AFTER)
+    def _leave(self, began: float) -> None:
+        self.scheduler.wait(until=began + LEAVE_AFTER)
         self.acquirer.finish()
-        self.scheduler.sleep(STAY - LEAVE_AFTER)
+        self.scheduler.wait(until=began + STAY)
         self.acquirer.close()
-        while self.acquirer.sessions:
-            self.acquirer.finish()
+        while not self.acquirer.empty():
+            self.acquirer.finish(taking=False)
             self.scheduler.sleep(STEP)
         if self.attached:
             self.attached.end()
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -157,6 +157,25 @@
         else:
             self.close(ending)
 
+    def end_sending(self) -> None:
+        """The other side reads all that was written and then the end; what it says meanwhile can still be read."""
+        self.flush()
+        if self.ending is None:
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.close(Ending.RESET)
+
+    def drain(self, seconds: float, most: int) -> None:
+        """Blocks its task until the other side has ended too, for so long and so many bytes at most. Closed over bytes
+        that nobody has read, a connection is reset, and what the other side has not read yet may be lost with it."""
+        until = self.scheduler.clock() + seconds
+        while self.ending is None and most > 0 and self.wait(until) != sch.TIMEOUT:
+            data = self.read(CHUNK)
+            if isinstance(data, Ending):
+                return
+            most -= len(data or b"")
+
     def close(self, ending: Ending) -> None:
         """Drops what was not written. Only the first ending counts."""
         if self.ending is None:
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,300 @@
+"""What is still owed at the moment in which something ends. Each test forces the bad order on real connections."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from hazelhollow import interface as api
+from hazelhollow.net import resp, stream
+from hazelhollow.net.acquirer import LINGER, MOST_LINGERING, MOST_PIPELINED
+from tests.scenario import Stage
+from tests.test_scenarios import DO, VALUE, ask
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
+
+
+def to_the_end(stage: Stage, end: socket.socket) -> bytes:
+    """All that comes up to the orderly end of the connection; a reset is an error, and so is no end."""
+    got = b""
+    for _ in range(200):
+        stage.settle(1)
+        try:
+            data = end.recv(1 << 20)
+        except BlockingIOError:
+            continue
+        if not data:
+            return got
+        got += data
+    raise AssertionError(f"no end after {got!r}")
+
+
+def say_after_the_look(monkeypatch: pytest.MonkeyPatch, end: socket.socket, words: bytes) -> None:
+    """What the client sends comes between the limiter's look at the socket and what it does then."""
+    whole = stream.Stream.alive
+
+    def alive(self: stream.Stream) -> bool:
+        found = whole(self)
+        if found and self._sock.getpeername() == end.getsockname():
+            end.sendall(words)
+        return found
+
+    monkeypatch.setattr(stream.Stream, "alive", alive)
+
+
+def answered(stage: Stage, name: str = "a") -> socket.socket:
+    """A client that has had an answer it has not read yet."""
+    stage.play(f"{name} send [SELECT 0]")
+    return stage._end(name)
+
+
+CLOSES: dict[str, Callable[[Stage], object]] = {
+    "idle": lambda stage: stage.play("wait 11"),
+    "room": lambda stage: stage.service.acquirer._close_idlest(),
+    "kept": lambda stage: keep_none(stage),
+    "sigterm": lambda stage: told_to_end(stage, 0.6),
+}
+
+
+def keep_none(stage: Stage) -> None:
+    stage.service.acquirer._most_kept = 0
+    stage.play("wait 0.2\nb send [SELECT 0]")
+
+
+def told_to_end(stage: Stage, seconds: float) -> None:
+    stage.service.leave()
+    stage.play(f"wait {seconds}")
+
+
+@pytest.mark.parametrize("why", CLOSES)
+def test_a_request_that_crosses_the_end_of_a_resting_connection_takes_no_answer_along(
+    why: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    stage = Stage(hosts=1)
+    end = answered(stage)
+    say_after_the_look(monkeypatch, end, stage.bytes_of(ask(1)))
+    CLOSES[why](stage)
+    assert to_the_end(stage, end) == b"+OK\r\n"
+    assert not stage.service.stats.requests  # it is read after the end, and its client sends it again elsewhere
+    end.close()
+    stage.settle()
+    assert not stage.service.acquirer.lingering
+
+
+JUNK = {
+    "no command": b"junk\r\n" + b"x" * 300_000,
+    "too long": b"*1\r\n$99999999\r\n" + b"y" * 70_000,
+    "bad in a row": resp.command([b"Q.ASK"]) * 400,
+}
+
+
+@pytest.mark.parametrize("junk", JUNK.values(), ids=JUNK.keys())
+def test_malformed_input_with_more_behind_it_gets_its_error_and_an_orderly_end(junk: bytes) -> None:
+    stage = Stage(hosts=1)
+    end = answered(stage)
+    end.setblocking(True)
+    end.settimeout(5)
+    sent = 0
+    while sent < len(junk):
+        sent += end.send(junk[sent : sent + 10_000])
+        stage.settle(3)
+    end.setblocking(False)
+    assert to_the_end(stage, end).startswith(b"+OK\r\n-ERR ")
+
+
+def test_junk_behind_a_request_that_takes_long_costs_it_no_answer() -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1, 2900)}\ns1 expect {ask(1, 2900)}\na send junk\nwait 2.6\na expect nothing\ns1 send {VALUE}")
+    assert to_the_end(stage, stage._end("a")).startswith(b"$2\r\nhi\r\n-ERR protocol error")
+
+
+def test_a_client_that_never_ends_its_side_holds_a_descriptor_for_a_bound_only() -> None:
+    stage = Stage(hosts=1)
+    answered(stage)
+    stage.play("wait 11")
+    stage.play(f"wait {LINGER + 0.1}")
+    assert stage.service.acquirer.empty()
+
+
+def test_connections_ended_here_hold_no_more_than_so_many_descriptors() -> None:
+    stage = Stage(hosts=1, sockets=0)  # room for nine clients
+    for number in range(60):
+        stage.play(f"c{number} send [SELECT 0]\nc{number} expect +OK")
+        acquirer = stage.service.acquirer
+        assert len(acquirer.sessions) + len(acquirer.lingering) <= 9 + MOST_LINGERING
+    assert acquirer.lingering
+
+
+def test_who_lingers_goes_first_when_a_descriptor_is_needed() -> None:
+    stage = Stage(hosts=1)
+    answered(stage)
+    stage.play("wait 10.2\nb send [CLIENT]\nb expect +OK")
+    assert stage.service.acquirer.lingering and stage.service.acquirer._free_descriptor()
+    assert not stage.service.acquirer.lingering
+    stage.play("b send [CLIENT]\nb expect +OK")
+
+
+def test_after_sigterm_a_client_that_never_stops_asking_has_each_answer_and_the_limiter_ends() -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1, 2500)}\ns1 expect {ask(1, 2500)}")
+    stage.service.leave()
+    stage.play(f"wait 0.8\na send {ask(2)}\na send {ask(3)}")
+    assert stage.service.stats.requests == 1  # the others might not be answered before SIGKILL: nobody takes them
+    stage.play(f"s1 send {VALUE}")
+    assert to_the_end(stage, stage._end("a")) == b"$2\r\nhi\r\n"
+    stage.play("a close\nwait 0.1")
+    assert stage.scheduler._stopped
+
+
+def test_a_connection_let_in_just_before_the_end_has_its_request_answered() -> None:
+    stage = Stage(hosts=1)
+    stage.service.leave()
+    stage.play("wait 0.45")
+    stage._end("a")
+    stage.settle()
+    stage.play(f"wait 0.1\na expect nothing\na send {ask(1)}\ns1 expect {ask(1)}\ns1 send {VALUE}\na expect $2\\r\\nhi\na expect closed")
+
+
+def test_half_a_request_does_not_keep_a_limiter_that_leaves() -> None:
+    stage = Stage(hosts=1)
+    end = answered(stage)
+    end.sendall(stage.bytes_of(ask(1))[:30])
+    stage.service.leave()
+    stage.play("wait 0.65")
+    assert stage.service.acquirer.sessions  # the rest may come
+    stage.play("wait 0.1")
+    end.sendall(stage.bytes_of(ask(1))[30:])
+    assert to_the_end(stage, end) == b"+OK\r\n" and not stage.service.stats.requests
+
+
+def held(monkeypatch: pytest.MonkeyPatch, stage: Stage) -> None:
+    """The module keeps every request waiting for its first attempt."""
+    monkeypatch.setattr(stage.service.limiter._decisions, "handle", lambda event, now: [])
+
+
+@pytest.mark.parametrize("how", ["close", "half", "reset"])
+def test_a_client_that_goes_is_seen_behind_its_own_unread_commands(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """With all its places taken nothing more is read from it, and its end lies behind what is not read."""
+    stage = Stage(hosts=1)
+    held(monkeypatch, stage)
+    for number in range(MOST_PIPELINED + 20):
+        stage.play(f"a send {ask(number, 3000)}")
+    leave(stage, "a", how)
+    assert stage.service.stats.clients_gone == MOST_PIPELINED and not stage.service.limiter.open
+
+
+@pytest.mark.parametrize("how", ["close", "half", "reset"])
+def test_a_client_that_goes_while_it_waits_its_turn_is_seen(how: str) -> None:
+    stage = Stage(hosts=1)
+    for number in range(40):  # each is refused at once, so it soon has to wait
+        stage._end("a").sendall(stage.bytes_of(ask(number, 0)) * 10)
+        stage.settle(20)
+    leave(stage, "a", how)
+    assert not stage.service.acquirer.sessions
+
+
+def leave(stage: Stage, name: str, how: str) -> None:
+    end = stage._end(name)
+    if how == "half":
+        end.shutdown(socket.SHUT_WR)
+    else:
+        if how == "reset":
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        end.close()
+    stage.settle()
+
+
+def unanswering(stage: Stage, name: str = "s1") -> list[socket.socket]:
+    """The host's machine lets nobody in: a connection to it does not come up."""
+    stage.listeners[name].listen(0)
+    fillers = []
+    for _ in range(2):
+        fillers.append(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        fillers[-1].setblocking(False)
+        fillers[-1].connect_ex(stage.listeners[name].getsockname())
+    return fillers
+
+
+@pytest.mark.parametrize("how", ["close", "half", "reset"])
+def test_a_request_whose_client_goes_while_the_connection_to_its_host_comes_up_is_never_sent(how: str) -> None:
+    stage = Stage(hosts=1)
+    fillers = unanswering(stage)
+    stage.play(f"a send {ask(1)}")
+    assert stage.service.stats.legs == 1 and stage.service.stats.opened == 0
+    leave(stage, "a", how)
+    assert stage.service.issuers._count == 0 and not stage.service.limiter.open
+    assert stage.service.stats.dispatches == 0 and len(fillers) == 2
+
+
+def test_a_request_partly_written_as_its_client_goes_is_not_finished() -> None:
+    stage, body = Stage(hosts=1), "B" * 65536
+    stage.listeners["s1"].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connect = stream.connect
+
+    def narrow(*words: Any) -> Any:
+        made: Any = connect(*words)
+        made._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # the system takes a part only
+        return made
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(stream, "connect", narrow)
+        stage.play(f"b send {DO.format(2).replace('BODY', body)}")
+    (line,) = stage.service.issuers._hosts["s1"].lines
+    assert line.touched() and not line.whole()
+    leave(stage, "b", "close")
+    assert stage.service.issuers._count == 0 and not stage.service.limiter.open
+
+
+def test_of_many_that_leave_at_mixed_stages_nothing_is_sent_on_later() -> None:
+    """Waiting for a connection, behind pipelined ones, for readiness: what had no attempt then never gets one."""
+    stage = Stage(hosts=2, heard=False)
+    fillers = unanswering(stage, "s1") + unanswering(stage, "s2")
+    for number in range(10):
+        stage.play(f"w{number} send {ask(number, 3000)}")  # for readiness
+    for number in range(0, 10, 2):
+        leave(stage, f"w{number}", ("close", "half", "reset")[number % 3])
+    stage.service.acquirer.ready()
+    stage.settle()
+    assert stage.service.stats.requests == 5
+    for number in range(10, 30):
+        for part in range(3):
+            stage._end(f"p{number}").sendall(stage.bytes_of(ask(10 * number + part, 3000)))
+        stage.settle(2)
+    for number in range(10, 30):
+        leave(stage, f"p{number}", ("close", "half", "reset")[number % 3])
+    for number in range(1, 10, 2):
+        leave(stage, f"w{number}", "close")
+    legs = stage.service.stats.legs
+    stage.play("wait 3.5")
+    assert stage.service.stats.legs == legs and stage.service.stats.dispatches == 0
+    assert not stage.service.limiter.open and not stage.service.acquirer.sessions and len(fillers) == 4
+
+
+def test_a_flood_whose_client_has_gone_by_the_time_it_is_read_costs_no_attempt() -> None:
+    stage = Stage(hosts=1)
+    end = stage._end("a")
+    stage.settle()
+    end.sendall(b"".join(stage.bytes_of(ask(number)) for number in range(50)))
+    end.close()
+    stage.play(f"b send {ask(60)}\ns1 expect {ask(60)}\ns1 send {VALUE}\nb expect $2\\r\\nhi")
+    assert stage.service.stats.requests == 1 == stage.service.stats.legs
+
+
+def test_an_answer_is_told_to_the_module_once_also_when_the_client_goes_in_the_same_turn() -> None:
+    stage, seen = Stage(hosts=1), list[api.Event]()
+    whole = stage.service.limiter._decisions.handle
+
+    def handle(event: api.Event, now: float) -> list[api.Action]:
+        seen.append(event)
+        return whole(event, now)
+
+    stage.service.limiter._decisions.handle = handle  # type: ignore[method-assign]
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
+    stage._end("s1").sendall(stage.bytes_of(VALUE))
+    leave(stage, "a", "close")
+    outcomes = [event for event in seen if isinstance(event, api.Outcome)]
+    assert len(outcomes) == 1 and not stage.service.limiter.open
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -421,8 +421,8 @@
         s1.1 send {VALUE}
         a expect $2\\r\\nhi
         a expect closed""")
-    assert not stage.service.acquirer.sessions
-    stage.play("wait 0.1")
+    assert not stage.service.acquirer.sessions and not stage.scheduler._stopped  # the clients have not ended theirs
+    stage.play("a close\nb close\nc close\nwait 0.1")
     assert stage.scheduler._stopped
 
 
