--- a/hazelhollow/__init__.py
+++ b/hazelhollow/__init__.py
@@ -1,7 +1,23 @@
 """hazelhollow: the decisions of an admission gateway for a service sold by plan."""
 
-from hazelhollow.decide import Gateway
-from hazelhollow.interface import Settings
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from hazelhollow.decide import Gateway
+    from hazelhollow.interface import Settings
 
 __all__ = ["Gateway", "Settings"]
 __version__ = "0.1.0"
+
+
+def __getattr__(name: str) -> Any:
+    """Found when asked for: a start sets its signals (hazelhollow/signals.py) before anything that takes time."""
+    if name == "Gateway":
+        from hazelhollow.decide import Gateway
+
+        return Gateway
+    if name == "Settings":
+        from hazelhollow.interface import Settings
+
+        return Settings
+    raise AttributeError(name)
--- a/hazelhollow/__main__.py
+++ b/hazelhollow/__main__.py
@@ -1,5 +1,12 @@
 """`python -m hazelhollow`."""
 
-from hazelhollow.cli import main
+import sys
+
+if "serve" in sys.argv[1:2]:  # before all that takes time to import
+    from hazelhollow import signals
+
+    signals.hold()
+
+from hazelhollow.cli import main  # noqa: E402
 
 main(prog_name="hazelhollow")
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -11,7 +11,7 @@
 from typing import Any, Protocol
 
 from hazelhollow import interface as api
-from hazelhollow import wire
+from hazelhollow import signals, wire
 from hazelhollow.config import Config, ConfigError
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
@@ -278,8 +278,9 @@
     for end in (inner, outer):
         end.setblocking(False)
     signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
+    for number in signals.NUMBERS:
         signal.signal(number, lambda *_: None)  # the number comes through the socket pair
+    outer.send(signals.held())  # what came before there was one; what came in between comes twice, which changes nothing
     scheduler.spawn_lasting(lambda: _signals(service, inner, reread), name="signals")
     service.start()
     if counters:
--- /dev/null
+++ b/tests/test_early_signals.py
@@ -0,0 +1,51 @@
+"""Signals that come before a limiter has its handlers: each test holds the program at its configuration, a named pipe."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import orjson
+import pytest
+
+from tests.test_net_parts import GOOD
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1])
+def test_a_signal_during_the_start_is_acted_on_once_there_is_something_to_act_on(number: int, tmp_path: Path) -> None:
+    pipe, whole = tmp_path / "config.json", orjson.dumps({**GOOD, "listen": "127.0.0.1:0"})
+    os.mkfifo(pipe)
+    command = [sys.executable, "-m", "hazelhollow", "serve"]
+    with subprocess.Popen(command, env={"RELAY_CONFIG": str(pipe)}, text=True, stderr=subprocess.PIPE) as program:
+        assert program.stderr
+        with open(pipe, "wb") as writing:  # opens once the program has come so far as to read
+            program.send_signal(number)
+            (tmp_path / "new").write_bytes(whole)
+            os.replace(tmp_path / "new", pipe)  # for the next reading
+            writing.write(whole)
+        lines = iter(program.stderr)
+        assert any("listens at" in line for line in lines)
+        if number == signal.SIGHUP:
+            assert any("reloaded: discovery at" in line for line in lines)
+        if number == signal.SIGUSR1:
+            assert any('"accepted":0' in line for line in lines)
+        if number != signal.SIGTERM:
+            program.send_signal(signal.SIGTERM)
+        assert program.wait(30) == 0
+
+
+def test_a_second_sigterm_and_a_sighup_while_it_leaves_change_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps({**GOOD, "listen": "127.0.0.1:0"}))
+    command = [sys.executable, "-m", "hazelhollow", "serve"]
+    with subprocess.Popen(command, env={"RELAY_CONFIG": str(path)}, text=True, stderr=subprocess.PIPE) as program:
+        assert program.stderr
+        lines = iter(program.stderr)
+        assert any("listens at" in line for line in lines)
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            program.send_signal(number)
+        rest = list(lines)
+        assert program.wait(30) == 0 and sum("left after" in line for line in rest) == 1
