--- a/hazelhollow/net/ending.py
+++ b/hazelhollow/net/ending.py
@@ -14,6 +14,7 @@
     NEVER_UP = auto()  # the connection did not come up in time, or the way there failed
     NO_DESCRIPTOR = auto()  # this machine has no socket left
     CLOSED = auto()  # the other side ended its sending
+    ANSWERED = auto()  # the other side ended it with its answer, which is whole
     RESET = auto()  # the other side, or the way there, broke it
     MALFORMED = auto()  # what came is not of the protocol
     TIMED_OUT = auto()  # no answer while we were willing to wait
--- a/hazelhollow/net/http1.py
+++ b/hazelhollow/net/http1.py
@@ -23,7 +23,7 @@
 
 
 class Parser:
-    """Fed bytes as they come; gives whole answers. Bodies by length or in chunks."""
+    """Fed bytes as they come; gives whole answers. Bodies by length, in chunks, or up to the end of the connection."""
 
     def __init__(self) -> None:
         self.ring = Ring(MOST_HEAD + MOST_BODY)
@@ -33,7 +33,7 @@
         self._status = 0  # 0: the head is yet to come
         self._keep = True
         self._left = -1  # bytes of the body, or of this chunk, to come; -1: a chunk's size comes next
-        self._chunked = False
+        self._chunked = self._endless = False
         self._trailer = False
         self._body = bytearray()
 
@@ -49,8 +49,21 @@
                 return None
             if 100 <= self._status < 200:  # news of the answer, which is still to come
                 self._restart()
-        if not (self._chunks() if self._chunked else self._plain()):
+        if self._endless or not (self._chunks() if self._chunked else self._plain()):
             return None
+        return self._whole()
+
+    def end(self) -> Answer | None:
+        """The other side has ended the connection in good order: the answer that ends with it, if there is one. A reset
+        is no end, and what came before it is no answer."""
+        if not self._endless:
+            return None
+        self._body += self.ring.take(len(self.ring))
+        if len(self._body) > MOST_BODY:
+            raise ProtocolError("too large a body")
+        return self._whole()
+
+    def _whole(self) -> Answer:
         answer = Answer(self._status, bytes(self._body), self._keep)
         self._restart()
         return answer
@@ -77,8 +90,13 @@
             if not colon:
                 raise ProtocolError("a header without a colon")
             fields[name.strip().lower()] = value.strip()
-        self._status, self._keep = int(words[1]), fields.get(b"connection", b"").lower() != b"close"
+        connection = fields.get(b"connection", b"").lower()
+        self._status = int(words[1])
+        self._keep = connection == b"keep-alive" if words[0] == b"HTTP/1.0" else connection != b"close"
         self._chunked = fields.get(b"transfer-encoding", b"").lower() == b"chunked"
+        bodiless = self._status < 200 or self._status in (204, 304)
+        self._endless = not (self._chunked or bodiless or b"content-length" in fields)
+        self._keep = self._keep and not self._endless
         length = fields.get(b"content-length", b"0")
         if not length.isdigit() or int(length) > MOST_BODY:
             raise ProtocolError("a length out of range")
--- a/hazelhollow/net/routing.py
+++ b/hazelhollow/net/routing.py
@@ -14,12 +14,16 @@
 from hazelhollow.net import scheduler as sch
 from hazelhollow.net.ending import Ending
 from hazelhollow.net.resp import ProtocolError
+from hazelhollow.net.sparse import Sparse
 from hazelhollow.net.stats import Stats
 
 PATH = "/discovery/hosts"
-HOLD = 5.0  # seconds that a call waits for news
-SILENCE = 1.0  # past the wait: then the call is held to be lost and a new one is made
-CONNECT = 0.5
+HOLD = 1.5  # seconds that a call waits for news: a watch that has fallen silent shows so much sooner
+SILENCE = 0.5  # past the wait: then the call is held to be lost and a new one is made
+# Past these another call is made: what the agent has counts as told, and a drain is to be kept within 0.3 s of that. The
+# agent is on this machine and answers what need not wait at once; one that takes longer is still heard, up to PATIENT.
+AT_ONCE = CONNECT = 0.15  # seconds
+PATIENT = 2.0
 PAUSE = 0.1  # before another try, under the 200 ms in which a watch goes on
 _STATES: dict[str, api.ServerState] = {"in_service": "up", "terminating": "draining", "terminated": "gone"}
 
@@ -39,9 +43,10 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.ever: set[str] = set()  # the names that a list of this life has held
 
-    def apply(self, document: Any, cached: bool = False) -> api.Servers:
+    def apply(self, document: Any, cached: bool = False, least: int = 0) -> api.Servers:
         """Takes in a list or the changes to it; gives the module's event. All is read before any is applied.
 
+        `least`: the version that changes must not go back behind. Raises TableError, with nothing changed.
         An entry that cannot be read is left out: asked again, discovery would only say the same, and one odd
         entry must not hide all the others.
         """
@@ -53,6 +58,8 @@
             )
         except (KeyError, TypeError, ValueError) as error:
             raise TableError(f"not a routing table: {error!r}") from None
+        if not whole and version < least:
+            raise TableError(f"a change to version {version}, older than the list's {least}")
         read = []
         for e in entries:
             try:
@@ -99,8 +106,10 @@
     ) -> None:
         self._scheduler, self._stats, self.address = scheduler, stats, address
         self._table, self._changed = table, changed
-        self.heard = False  # whether discovery, at the address it has now, has answered in this life
+        self.heard = False  # whether the list that stands is the one that this watch has gone on from
+        self._log = Sparse(log, scheduler.clock)
         self._driver: stream.Stream | None = None
+        self._slow: stream.Stream | None = None  # on which the whole list may still come, while others are tried
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere from now on, at once and not when the call that is out ends.
@@ -109,14 +118,18 @@
         """
         if address != self.address:
             self.address, self.heard = address, False
-            if self._driver:
-                self._driver.close(Ending.MOVED)
+            for driver in (self._driver, self._slow):
+                if driver:
+                    driver.close(Ending.MOVED)
 
     def run(self) -> None:
         while True:
             ending = self._connection()
-            self._stats.watches_lost += 1
-            log.info("discovery: %s", ending.name.lower())
+            if ending is not Ending.ANSWERED:
+                # What was told meanwhile, and to whom discovery counts it as told, is not known: so the whole list.
+                self.heard = False
+                self._stats.watches_lost += 1
+                self._log.say(logging.INFO, "discovery: %s", ending.name.lower())
             if ending is not Ending.MOVED:
                 self._scheduler.sleep(PAUSE)
 
@@ -126,44 +139,76 @@
             return driver
         parser, ending = http1.Parser(), Ending.BROKEN_HERE
         try:
-            ending = self._calls(driver, parser)
-        except (ProtocolError, TableError, orjson.JSONDecodeError) as error:
-            log.warning("discovery: %s", error)
-            ending = Ending.MALFORMED
+            ending = self._guarded(self._calls, driver, parser)
         finally:
-            driver.close(ending)
+            if ending is Ending.TIMED_OUT and not self.heard and self._slow is None:
+                self._slow = driver
+                self._scheduler.spawn(self._await_slow, driver, parser, self._stats.tables, name="slow discovery")
+            else:
+                driver.close(ending)
         return ending
 
     def _hold(self, driver: stream.Stream) -> None:
         self._driver = driver
 
+    def _guarded(self, run: Callable[..., Ending], *args: Any) -> Ending:
+        try:
+            return run(*args)
+        except (ProtocolError, TableError, orjson.JSONDecodeError) as error:
+            self._log.warning("discovery: %s", error)
+            return Ending.MALFORMED
+
+    def _await_slow(self, driver: stream.Stream, parser: http1.Parser, tables: int) -> None:
+        """The answer to a call that another has followed. One call at a time is waited for so."""
+        ending = Ending.BROKEN_HERE
+        try:
+            ending = self._guarded(self._hear_slow, driver, parser, tables)
+        finally:
+            driver.close(ending)
+            self._slow = None
+
+    def _hear_slow(self, driver: stream.Stream, parser: http1.Parser, tables: int) -> Ending:
+        """`tables`: how many lists had been heard when it was asked; where one has come since, this one is older."""
+        answer = self._answer(driver, parser, PATIENT)
+        if isinstance(answer, Ending):
+            return answer
+        if answer.status == 200 and tables == self._stats.tables:
+            self._heard(answer.body)
+        return Ending.ANSWERED
+
     def _calls(self, driver: stream.Stream, parser: http1.Parser) -> Ending:
         host = f"{self.address[0]}:{self.address[1]}"
         while True:
-            # The first answer of a life must come at once, and the list known at the start may be too old.
-            hold = HOLD if self.heard else 0.0
-            query = f"?from={self._table.version}&hold_ms={int(hold * 1000)}"
-            driver.write(http1.get(PATH + (query if self.heard else ""), host))
-            until = self._scheduler.clock() + hold + SILENCE
-            answer = None
-            while answer is None:
-                if driver.wait(until) == sch.TIMEOUT:
-                    return Ending.TIMED_OUT
-                data = driver.read(stream.CHUNK)
-                if isinstance(data, Ending):
-                    return data
-                if data:
-                    parser.feed(data)
-                    answer = parser.next()
+            # A watch begins with the whole list, which must come at once: the one known may be too old.
+            query = f"?from={self._table.version}&hold_ms={int(HOLD * 1000)}" if self.heard else ""
+            driver.write(http1.get(PATH + query, host))
+            answer = self._answer(driver, parser, HOLD + SILENCE if self.heard else AT_ONCE)
+            if isinstance(answer, Ending):
+                return answer
             if answer.status != 200:
-                log.warning("discovery: status %d", answer.status)
+                self._log.warning("discovery: status %d", answer.status)
                 return Ending.MALFORMED
             self._heard(answer.body)
             if not answer.keep:
-                return Ending.CLOSED
+                return Ending.ANSWERED
+
+    def _answer(self, driver: stream.Stream, parser: http1.Parser, seconds: float) -> http1.Answer | Ending:
+        until, answer = self._scheduler.clock() + seconds, parser.next()
+        while answer is None:
+            late = driver.wait(until) == sch.TIMEOUT
+            data = driver.read(stream.CHUNK)  # also when the time is over: this process may have been the late one
+            if data is None and late:
+                return Ending.TIMED_OUT
+            if isinstance(data, Ending):
+                answer = parser.end() if data is Ending.CLOSED else None
+                return answer or data
+            if data:
+                parser.feed(data)
+                answer = parser.next()
+        return answer
 
     def _heard(self, body: bytes) -> None:
-        event = self._table.apply(orjson.loads(body))
+        event = self._table.apply(orjson.loads(body), least=self._table.version if self.heard else 0)
         self._stats.tables += 1
         self.heard = True
         if event.entries or event.kind == "full":
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable
 from typing import Any
 
+import orjson
 import pytest
 
 from hazelhollow import interface as api
 from hazelhollow.net import resp, stream
 from hazelhollow.net.acquirer import LINGER, MOST_LINGERING, MOST_PIPELINED
 from tests.scenario import Stage
-from tests.test_scenarios import DO, VALUE, ask
+from tests.test_scenarios import DO, GET, VALUE, WATCH, ask
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
 
@@ -298,3 +299,145 @@
     leave(stage, "a", "close")
     outcomes = [event for event in seen if isinstance(event, api.Outcome)]
     assert len(outcomes) == 1 and not stage.service.limiter.open
+
+
+# The watch
+
+
+def watched(stage: Stage) -> None:
+    stage.play(f"disco expect {GET}\ndisco send whole 5 s1:in_service s2:in_service\ndisco expect {WATCH.format(5)}")
+
+
+ENDLESS = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+
+
+def drains(stage: Stage, version: int = 6, indent: bool = False) -> bytes:
+    table = stage.table("whole", version, "s1:terminating", "s2:in_service")
+    return orjson.dumps(table, option=orjson.OPT_INDENT_2 if indent else None)
+
+
+def s1_is_left(stage: Stage) -> bool:
+    return "s1" not in stage.service.issuers._hosts
+
+
+def test_an_answer_without_a_length_ends_with_its_connection() -> None:
+    stage = Stage(hosts=2)
+    watched(stage)
+    end = stage._end("disco")
+    end.sendall(ENDLESS.encode() + drains(stage, indent=True))
+    stage.settle()
+    assert not s1_is_left(stage)  # more may come
+    end.shutdown(socket.SHUT_WR)
+    stage.settle()
+    assert s1_is_left(stage)
+    stage.play(f"wait 0.1\ndisco.2 expect {WATCH.format(6)}")
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_reset_is_no_end_of_an_answer_without_a_length(whole: bool) -> None:
+    """What came before it may be a part that happens to read well: the list is asked for anew."""
+    stage = Stage(hosts=2)
+    watched(stage)
+    end = stage._end("disco")
+    end.sendall(ENDLESS.encode() + (drains(stage) if whole else drains(stage)[:40]))
+    stage.settle()
+    leave(stage, "disco", "reset")
+    stage.ends["disco"].remove(end)
+    assert not s1_is_left(stage)
+    stage.play(f"wait 0.1\ndisco expect {GET}\ndisco send whole 7 s1:terminating s2:in_service")
+    assert s1_is_left(stage)
+
+
+def asked_anew(stage: Stage) -> None:
+    """Up to the next call, since the one before may be given up by now."""
+    for _ in range(10):
+        try:
+            stage.play(f"wait 0.05\ndisco expect {GET}")
+            return
+        except AssertionError:
+            pass
+    raise AssertionError("not asked again")
+
+
+DEATHS: dict[str, str] = {
+    "silent while it waits": "wait 2.0",
+    "silent in mid-answer": "disco send HTTP/1.1 200 OK\\r\\nContent-Length: 400\\r\\n\\r\\n{\nwait 2.0",
+    "trickling": "disco send HTTP/1.1 200 OK\\r\\nContent-Le\nwait 1.2\ndisco send ngth: 40\nwait 0.8",
+    "closed": "disco close",
+    "not JSON": "disco send HTTP/1.1 200 OK\\r\\nContent-Length: 3\\r\\n\\r\\nno",
+    "a change that goes back": "disco send table 3 s2:in_service",
+    "an error": "disco send HTTP/1.1 503 Busy\\r\\nContent-Length: 0\\r\\n",
+}
+
+
+@pytest.mark.parametrize("death", DEATHS)
+def test_after_a_watch_has_died_the_whole_list_is_asked_for_and_obeyed(death: str) -> None:
+    """Within 2.6 s also where the first tries after it are met with silence; the page allows 6."""
+    stage = Stage(hosts=2)
+    watched(stage)
+    stage.play(DEATHS[death])
+    before = len(stage.ends["disco"])
+    stage.play("wait 0.6")  # asked again meanwhile, twice at least, and not answered
+    asked_anew(stage)
+    stage.play("disco send whole 2 s1:terminating s2:in_service")
+    assert s1_is_left(stage) and len(stage.ends["disco"]) >= before + 2
+    stage.play(f"disco expect {WATCH.format(2)}")
+
+
+def test_a_watch_moved_while_it_connects_or_rests_between_two_calls_asks_the_new_one_for_all() -> None:
+    for seconds in (0.0, 0.05, 0.12):
+        stage = Stage(hosts=2)
+        watched(stage)
+        stage.listeners["disco"].close()
+        stage.play("disco close")
+        stage.now += seconds
+        stage.settle(1)
+        stage.play(f"disco2 reload\nwait 0.15\ndisco2 expect {GET}\ndisco2 send whole 2 s1:terminating s2:in_service")
+        assert s1_is_left(stage)
+
+
+def test_a_list_that_lies_unread_as_its_time_is_over_is_read() -> None:
+    """This process was the late one; a watch given up for that would be given up each time."""
+    stage = Stage(hosts=2)
+    stage.play(f"disco expect {GET}")
+    end = stage._end("disco")
+    stage.now += 0.3
+    end.sendall(stage.bytes_of("whole 5 s1:terminating s2:in_service"))
+    stage.settle()
+    assert s1_is_left(stage)
+
+
+def test_an_agent_that_is_slower_than_it_should_be_is_heard_all_the_same() -> None:
+    """Each of its answers comes after another call has been made; also to one that is moved to."""
+    stage = Stage(hosts=2)
+    stage.play(f"disco expect {GET}\nwait 0.7")
+    stage.play("disco.1 send whole 5 s1:terminating s2:in_service")
+    assert s1_is_left(stage)
+    stage.play("wait 1.0\ndisco2 reload\ndisco2 expect " + GET + "\nwait 0.7\ndisco2.1 send whole 2 s1:in_service s2:in_service")
+    assert not s1_is_left(stage)
+
+
+def test_a_slow_list_changes_nothing_once_a_later_call_was_answered() -> None:
+    stage = Stage(hosts=2)
+    stage.play(f"disco expect {GET}\nwait 0.3\ndisco.2 expect {GET}\ndisco.2 send whole 5 s1:terminating s2:in_service")
+    stage.play("disco.1 send whole 4 s1:in_service s2:in_service")
+    assert s1_is_left(stage)
+    stage.play("disco.1 expect closed")
+
+
+def test_a_slow_list_of_a_discovery_that_was_moved_from_is_nobodys() -> None:
+    stage = Stage(hosts=2)
+    stage.play(f"disco expect {GET}\nwait 0.3\ndisco2 reload\ndisco2 expect {GET}\ndisco.1 expect closed")
+    assert stage.service.stats.tables == 0
+
+
+def test_no_more_than_one_slow_call_is_waited_for() -> None:
+    stage = Stage(hosts=2)
+    stage.play(f"disco expect {GET}\nwait 1.0\ndisco.2 expect {GET}\ndisco.2 expect closed\ndisco.1 expect nothing\nwait 1.5\ndisco.1 expect closed")
+
+
+def test_a_change_that_goes_back_leaves_the_list_as_it_was() -> None:
+    stage = Stage(hosts=2)
+    watched(stage)
+    stage.play("disco send table 3 s2:terminating")
+    assert stage.service.table.version == 5 and "s2" in stage.service.table.open_addresses()
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -131,6 +131,34 @@
     assert got == [(200, b"{}", True), (503, b"abcd", False)]
 
 
+@pytest.mark.parametrize(
+    ("head", "keeps"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n", False),
+        (b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n", False),
+        (b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\nConnection: Keep-Alive\r\n\r\n", True),
+    ],
+)
+def test_whether_another_call_may_follow_an_answer_on_its_connection(head: bytes, keeps: bool) -> None:
+    parser = http1.Parser()
+    parser.feed(head + b"{}")
+    answer = parser.next()
+    assert answer and (answer.body, answer.keep) == (b"{}", keeps)
+
+
+def test_an_answer_without_a_length_is_whole_at_the_end_only_and_in_parts_has_none() -> None:
+    parser = http1.Parser()
+    parser.feed(b"HTTP/1.1 200 OK\r\n\r\n{}")
+    assert parser.next() is None
+    answer = parser.end()
+    assert answer and (answer.status, answer.body, answer.keep) == (200, b"{}", False)
+    for part in (b"HTTP/1.1 200", b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}"):
+        parser = http1.Parser()
+        parser.feed(part)
+        assert parser.next() is None and parser.end() is None
+
+
 def test_every_ending_has_its_outcome_and_none_after_the_last_byte_says_never_ran() -> None:
     never = {"connect_failed", "full", "moot"}
     assert all(outcome(ending, written=True) not in never for ending in Ending)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -30,7 +30,7 @@
 DO = "[Q.DO 00000000b4d65521 r{0} c=buy,t=basic,d=1000,k=5c0f,units=1,spread=2,first=0 BODY]"
 VALUE = r"*3\r\n$2\r\nhi\r\n$-1\r\n$27\r\ninflight=7,queue=2,util=0.6"
 GET = r"GET /discovery/hosts HTTP/1.1\r\n**\r\n"
-WATCH = r"GET /discovery/hosts?from={0}&hold_ms=5000 HTTP/1.1\r\n**\r\n"
+WATCH = r"GET /discovery/hosts?from={0}&hold_ms=1500 HTTP/1.1\r\n**\r\n"
 READY = "disco send whole 1 s1:in_service"
 
 
@@ -191,7 +191,7 @@
         {READY}
         a send {ask(1)}
         s1 expect {ask(1)}
-        disco expect GET /discovery/hosts?from=1&hold_ms=5000 HTTP/1.1\\r\\n**\\r\\n
+        disco expect GET /discovery/hosts?from=1&hold_ms=1500 HTTP/1.1\\r\\n**\\r\\n
         disco send table 2 s1:terminating
         b send {ask(2)}
         b expect -BUSY 250
@@ -200,15 +200,15 @@
         s1 expect closed""",
     "a silent discovery is asked again on a new connection": f"""
         disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
-        wait 1.2
+        wait 0.3
         disco.2 expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
         disco.2 send table 1
-        disco.2 expect GET /discovery/hosts?from=1&hold_ms=5000 HTTP/1.1\\r\\n**\\r\\n
-        wait 6.2
-        disco.3 expect GET /discovery/hosts?from=1&hold_ms=5000 HTTP/1.1\\r\\n**\\r\\n
+        disco.2 expect GET /discovery/hosts?from=1&hold_ms=1500 HTTP/1.1\\r\\n**\\r\\n
+        wait 2.15
+        disco.3 expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
         disco.3 send HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\n\\r\\nnull
-        wait 0.2
-        disco.4 expect GET /discovery/hosts?from=1&hold_ms=5000 HTTP/1.1\\r\\n**\\r\\n
+        wait 0.1
+        disco.4 expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n
         a send {ask(1)}
         s1 expect {ask(1)}""",
     "PING waits until the limiter is ready": f"""
@@ -630,9 +630,9 @@
 def test_requests_wait_for_discoverys_first_list_before_they_are_sent() -> None:
     """The list that a limiter is started with may be old: a host in it may drain by now."""
     stage = Stage(hosts=2, heard=False)
-    stage.play(f"a send {ask(1)}\nwait 0.2")
+    stage.play(f"a send {ask(1)}\nwait 0.1")
     assert stage.service.stats.requests == 0 and stage.service.stats.legs == 0
-    stage.play(f"disco expect {GET}\ndisco send whole 2 s1:in_service s2:terminating\ns1 expect {ask(1, 800)}")
+    stage.play(f"disco expect {GET}\ndisco send whole 2 s1:in_service s2:terminating\ns1 expect {ask(1, 900)}")
     assert stage.service.stats.requests == 1
 
 
