--- a/hazelhollow/decide.py
+++ b/hazelhollow/decide.py
@@ -59,7 +59,7 @@
     ran = [a for a in held.attempts if a.may_have_run]
     if not ran or held.kind.effect == "safe":
         return True
-    if held.kind.effect == "unsafe" or now + settings.tick >= ran[0].sent_at + held.kind.window:
+    if held.kind.effect == "unsafe" or now + settings.tick >= held.repeat_until():
         return False
     group = held.kind.group
     return group == "all" or all(getattr(a.server.entry, group) == getattr(server.entry, group) for a in ran)
@@ -124,7 +124,7 @@
     # Budgets
 
     def _account(self, key: str, plan: api.Plan, first: int, spread: int) -> Account:
-        account, large = self.accounts.get(key), spread > DIRECT
+        account, large = self.accounts.get(name := self.name_of(key, plan)), spread > DIRECT
         if account is None:
             # A new gateway allows the burst divided by its gateways, and the rate since its start. In a large
             # set, whose hubs will tell when it is spent, one request at least, or the quiet would be refused.
@@ -132,7 +132,8 @@
             part = max(plan.burst / max(spread, 1), least)
             part += max(plan.burst - part, 0.0) * self.together if self.whole else 0.0
             level = min(plan.burst, part + plan.rate * (self.now - min(self.born, self.known_from)))
-            account = self.accounts[key] = Account(plan, level, self.born, self.now, self.whole, self.keeps)
+            account = Account(plan, level, self.born, self.now, self.whole, self.keeps, name)
+            self.accounts[name] = account
         if spread and (account.first, account.spread) != (first, spread):
             account.place(first, spread, self.settings, int(key, 36), HUBS if large else 0, self.lost)
             account.leave_to(self.lost, self.settings.gateways, self.now)
@@ -168,11 +169,10 @@
         if not self.acting:  # it stood still, and may be dead to the others: what it knows is old
             self.actions.append(api.Refuse(event.id, min(PERIOD, self.settings.max_retry_after), "away"))
             return
-        key = self._key(event.customer)
         spread = max(1, min(event.spread, self.settings.gateways))
-        account = self._account(key, plan, event.first_gateway, spread)
+        account = self._account(self._key(event.customer), plan, event.first_gateway, spread)
         account.used = self.now
-        held = Held(event, kind, key, account, self.now, self.settings.max_attempts)
+        held = Held(event, kind, account.name, account, self.now, self.settings.max_attempts)
         held.size = min(round(event.units), SIZES)
         self.units[kind.name] += GAIN * (event.units - self.units[kind.name])
         held.inside = self._inside(held)
@@ -306,7 +306,7 @@
         near = min(level, believed) < need + RESERVE * plan.burst
         if busy and near and abs(believed - level) >= max(need / 2, NEWS * plan.burst):
             account.told.level, account.telling = level, True
-            spent = gossip.Spent(key, gossip.tag(plan.name), max(plan.burst - level, 0.0))
+            spent = gossip.Spent(state.key_of(key), gossip.tag(plan.name), max(plan.burst - level, 0.0))
             members = [(account.first + i) % self.settings.gateways for i in range(account.spread)]
             self._mark(members, key, SPENT, gossip.write(spent))
 
@@ -355,7 +355,7 @@
                 life, period = f"{event.sender}.{message.life}", self.period - behind - word.age
                 account.budget.level -= account.totals.hear(life, period, word.total)
                 account.used, account.theirs[event.sender] = self.now, (self.now, word.open)
-                self._news(word.customer, account)
+                self._news(account.name, account)
         loads = {word.server: word.work for word in message.words if isinstance(word, gossip.Load)}
         self.loads.update({event.sender: (self.now, loads)} if self.small else {})
         self.heard_at = -1.0
@@ -468,13 +468,13 @@
     # Attempts
 
     def _send(self, held: Held, server: Server) -> None:
-        work, number = self.work_of(held), len(held.attempts)
+        work, number, until = self.work_of(held), len(held.attempts), held.repeat_until()
         backlog = server.backlog(self.heard_loads(SILENT * PERIOD))
         held.attempts.append(Attempt(server, self.now, work, backlog))
         server.since = server.since if server.out else self.now
         server.out[held.event.id, number] = work
         (server.sent if server.cold(self.now, self.settings) else self.warm_sent).add(self.now, work)
-        self.actions.append(api.Send(held.event.id, server.entry.server))
+        self.actions.append(api.Send(held.event.id, server.entry.server, begin_by=until))
 
     def _leave(self) -> None:
         """What hangs goes elsewhere while that may be in time. Not in an overload, in which all wait."""
--- a/hazelhollow/interface.py
+++ b/hazelhollow/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple, Union
@@ -248,11 +249,13 @@
 
 @dataclass(frozen=True)
 class Send:
-    """Start an attempt; `timeout` 0 lets it run until the client gives up."""
+    """Start an attempt; `timeout` 0 lets it run until the client gives up. What has not gone out whole at `begin_by` (an
+    instant) must never go out: where a request may be repeated for so long only, its connection may come up too late."""
 
     id: str
     server: str
     timeout: float = 0.0
+    begin_by: float = math.inf
 
 
 @dataclass(frozen=True)
--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/acquirer.py
@@ -55,8 +55,11 @@
     """What the settings let a request say. Nothing else may reach the module or an issuer host: there a single
     `nan`, or a wait of years, would spoil what is learned from all the others."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: api.Settings, before: Terms | None = None) -> None:
+        """`before`: those that held until now, and by which requests that are on their way were made."""
         self.classes = {c.name: c for c in settings.classes}
+        known = before.longest if before else dict[str, float]()
+        self.longest: dict[str, float] = {c.name: max(c.deadline, known.get(c.name, 0.0)) for c in settings.classes}  # seconds
         self.plans = {p.name for p in settings.plans}
         self.gateways, self.most_units = settings.gateways, settings.max_units
 
@@ -80,7 +83,7 @@
             raise BadCommand("no such class or plan")
         if (kind.effect == "safe") != (len(words) == 4) or (kind.effect == "keyed" and not fields.get("k")):
             raise BadCommand("not the command for this class")
-        if not _WHOLE.fullmatch(patience) or int(patience) > math.ceil(kind.deadline * 1000):
+        if not _WHOLE.fullmatch(patience) or int(patience) > math.ceil(self.longest[kind.name] * 1000):
             raise BadCommand("d out of range")
         if not _UNITS.fullmatch(units) or not 0 < float(units) <= self.most_units:
             raise BadCommand("units out of range")
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/issuer.py
@@ -16,7 +16,7 @@
 IDLE_SHARE = 0.5  # of the time after which the host may close an idle connection: past it none is reused
 SWEEP = 0.25  # seconds between looks for idle connections and for answers that stop half-way
 HALFWAY = 0.5  # seconds without a byte in the middle of an answer, after which no more is expected
-SETTLE = 0.002  # seconds in which what was sent right behind an answer may still be on its way
+SETTLE = 0.03  # seconds in which a second copy of an answer may still be on its way: so long no leg begins on that line
 
 log = logging.getLogger(__name__)
 
@@ -50,18 +50,20 @@
 class Leg:
     """One attempt, from the request to start it to its one result."""
 
-    __slots__ = ("host", "command", "done", "line", "started", "timer")
+    __slots__ = ("host", "command", "done", "line", "started", "timer", "begin_timer")
 
     def __init__(self, host: Host, command: bytes, done: Callable[[Result], None], started: float) -> None:
         self.host, self.command, self.started = host, command, started
         self.done: Callable[[Result], None] | None = done
         self.line: Line | None = None
         self.timer: sch.Timer | None = None  # at which it is given up before its request is
+        self.begin_timer: sch.Timer | None = None  # at which it is given up if it has not gone out whole
 
     def finish(self, result: Result) -> None:
         done, self.done = self.done, None
-        if self.timer:
-            self.timer.cancel()  # it would hold the leg and its line until then
+        for timer in (self.timer, self.begin_timer):
+            if timer:
+                timer.cancel()  # it would hold the leg and its line until then
         if done:
             done(result)
 
@@ -78,7 +80,7 @@
         self.parser = resp.Parser()
         self.idle_since = 0.0
         self.partial_since = 0.0  # when the latest bytes of an answer that is not whole came
-        self.settled_at = 0.0  # when what came right behind the last value must have shown
+        self.settled_at = 0.0  # when a second copy of the last value must have shown
         self._mark = 0  # bytes written before this leg's
 
     def opening(self, driver: stream.Stream) -> None:
@@ -98,10 +100,6 @@
         """Whether all of it has, so that the host may have begun it."""
         return self.leg is not None and self.touched() and self._left() <= 0
 
-    def hasty(self, now: float) -> bool:
-        """Whether this may be a second copy of the last answer that was on its way when the line was used again."""
-        return self.leg is not None and self.leg.started < self.settled_at and now - self.leg.started < SETTLE
-
     def _left(self) -> int:
         assert self.stream and self.leg
         return self._mark + len(self.leg.command) - self.stream.written
@@ -131,9 +129,12 @@
         self._scheduler, self._stats, self._most = scheduler, stats, most_lines
         self._connect_timeout, self._rest = connect_timeout, conn_idle * IDLE_SHARE
         self._hosts: dict[str, Host] = {}
-        self._count = 0
+        self._lines: set[Line] = set()  # all, also those to hosts that are listed no more
         scheduler.at(scheduler.clock() + SWEEP, self._sweep)
 
+    def retune(self, connect_timeout: float, conn_idle: float) -> None:
+        self._connect_timeout, self._rest = connect_timeout, conn_idle * IDLE_SHARE
+
     # The routing table
 
     def update(self, addresses: Mapping[str, tuple[str, int]]) -> None:
@@ -163,8 +164,8 @@
         if host is None:
             self._scheduler.later(lambda: leg.finish(Result(outcome(Ending.UNLISTED, False))))
             return leg
-        while host.idle:
-            line = host.idle.pop()
+        while (place := self._settled(host, now)) is not None:
+            line = host.idle.pop(place)
             if now - line.idle_since >= self._rest:
                 self.end(line, Ending.IDLE)
             elif not line.stream or not line.stream.alive():
@@ -175,22 +176,31 @@
                 line.begin()
                 line.stream.wake()
                 return leg
-        if self._count >= self._most and not self.spare():
+        if len(self._lines) >= self._most and not self.spare():
             self._stats.no_descriptor += 1
             self._scheduler.later(lambda: leg.finish(Result(outcome(Ending.NO_DESCRIPTOR, False))))
             return leg
         line = Line(host)
         line.leg, leg.line = leg, line
         host.lines.add(line)
-        self._count += 1
+        self._lines.add(line)
         self._scheduler.spawn(self._tend, line, name=f"line to {name}")
         return leg
 
+    def _settled(self, host: Host, now: float) -> int | None:
+        """The place of the idle line that was used last, of those on which nothing can still be on its way."""
+        return next((n for n in range(len(host.idle) - 1, -1, -1) if host.idle[n].settled_at <= now), None)
+
     def give_up(self, leg: Leg, ending: Ending) -> None:
         """The host learns of it by the connection's end; bytes that were not written never are."""
         if leg.done and leg.line:
             self.end(leg.line, ending)
 
+    def hold_back(self, leg: Leg, ending: Ending) -> None:
+        """What has not gone out whole never will: no host can have begun it."""
+        if leg.done and leg.line and not leg.line.whole():
+            self.end(leg.line, ending)
+
     # Connections
 
     def end(self, line: Line, ending: Ending) -> None:
@@ -198,7 +208,7 @@
         host, leg, whole = line.host, line.leg, line.whole()
         if line in host.lines:
             host.lines.remove(line)
-            self._count -= 1
+            self._lines.remove(line)
             if line in host.idle:
                 host.idle.remove(line)
         if line.stream:
@@ -210,9 +220,8 @@
             leg.finish(Result(outcome(ending, whole)))
 
     def close(self) -> None:
-        for host in self._hosts.values():
-            for line in list(host.lines):
-                self.end(line, Ending.SHUTDOWN)
+        for line in list(self._lines):
+            self.end(line, Ending.SHUTDOWN)
 
     def spare(self) -> bool:
         """Makes room for one descriptor where a connection is idle."""
@@ -271,14 +280,13 @@
                 line.partial_since = self._scheduler.clock()
                 continue
             result = read_answer(answer)
-            # Nobody asked, the answer is none, or it came before the request was out or could have been worked
-            # on: what this connection says next could be taken for another request's answer.
-            if result is None or not line.whole() or line.hasty(self._scheduler.clock()):
+            # Nobody asked, the answer is none, or it came before the request was out: what this connection says next could be taken for another request's answer.
+            if result is None or not line.whole():
                 return Ending.MALFORMED
             leg, line.leg, line.partial_since = line.leg, None, 0.0
             assert leg
             self._stats.dispatches += 1
-            line.settled_at = self._scheduler.clock() + SETTLE if result.status == "ok" else 0.0
+            line.settled_at = self._scheduler.clock() + SETTLE
             if line.parser.idle():
                 self._rest_line(line)
             else:
@@ -301,6 +309,6 @@
         for host in self._hosts.values():
             while host.idle and now - host.idle[0].idle_since >= self._rest:
                 self.end(host.idle[0], Ending.IDLE)
-            for line in [x for x in host.lines if x.partial_since and now - x.partial_since >= HALFWAY]:
-                # The host had done the work and was sending: the leg can wait for the deadline in vain only.
-                self.end(line, Ending.STALLED)
+        for line in [x for x in self._lines if x.partial_since and now - x.partial_since >= HALFWAY]:
+            # The host had done the work and was sending: the leg can wait for the deadline in vain only.
+            self.end(line, Ending.STALLED)
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -6,6 +6,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from hazelhollow import interface as api
@@ -85,9 +86,13 @@
             self._stats.reply(request.class_name, "overload")
             caller.declined(0)
             return None
-        if request.id in self.open:
-            # Every request has an id of its own, a retry too: this one is somebody else's. The one who came first
-            # gets the answer, and what the host would say to a second of that name is nobody's.
+        known = self.open.get(request.id)
+        if known and known.ask.request.customer != request.customer:  # two clients may pick one: each is its own request
+            request = ask.request = replace(request, id=f"{request.id}/{request.customer}")
+            known = self.open.get(request.id)
+        if known:
+            # Every request of a customer has an id of its own, a retry too. The one that came first gets the
+            # answer, and what the host would say to a second of that name is nobody's.
             self._stats.failed += 1
             self._stats.reply(request.class_name, "error")
             caller.failed()
@@ -112,8 +117,7 @@
             one.answered = True
             self._handle(api.ClientGone(one.id), one)
             for leg in one.legs:
-                if leg.line and not leg.line.whole():
-                    self._issuers.give_up(leg, Ending.CANCELLED)
+                self._issuers.hold_back(leg, Ending.CANCELLED)
 
     # Everything else that happens
 
@@ -259,6 +263,8 @@
         one.out += 1
         leg = self._issuers.start(action.server, command, lambda result: self._leg_done(one, number, result))
         one.legs.append(leg)
+        if action.begin_by < now + left:
+            leg.begin_timer = self._scheduler.at(action.begin_by, self._issuers.hold_back, leg, Ending.NEVER_UP)
         if now + left < one.deadline:
             leg.timer = self._scheduler.at(now + left, self._issuers.give_up, leg, Ending.TIMED_OUT)
 
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -128,6 +128,7 @@
             log.warning("server %s is put back by hand", server)
             self.limiter.ban(server, False)
         self.banned = set(down)
+        self._update_hosts()
         if write:
             self.bans.write(self.banned)
 
@@ -147,9 +148,13 @@
         # First the module: a leg that has not left for a host that goes ends with `update`, and the module
         # then chooses anew from the list as it stands.
         self.limiter.told(event)
-        self.issuers.update(self.table.open_addresses())
+        self._update_hosts()
         self.acquirer.ready()
 
+    def _update_hosts(self) -> None:
+        """A leg that has not left for a host that drains, is gone or was put out by hand never will."""
+        self.issuers.update({k: v for k, v in self.table.open_addresses().items() if k not in self.banned})
+
     def reload(self, reread: Callable[[], Config]) -> None:
         """Takes the addresses of the new file; clients, legs and budgets stay. A bad file changes nothing."""
         try:
@@ -165,6 +170,7 @@
             self.attached.reload(taken=True)
         self.stats.reload_success += 1
         self._retune(config.settings, config.document)
+        self.issuers.retune(config.connect_timeout, config.conn_idle)
         log.info("reloaded: discovery at %s:%d", *config.discovery)
         self.watch.move(config.discovery)
 
@@ -174,7 +180,7 @@
             # Requests that are open keep the class and the attempts that they came with; new ones take the new.
             self.settings = settings
             self.gateway.retune(settings)
-            self.acquirer.terms = Terms(settings)
+            self.acquirer.terms = Terms(settings, self.acquirer.terms)
             self.limiter.most_units = settings.max_units if settings.post_paid else 0.0
             log.info("settings: classes %s", ", ".join(c.name for c in settings.classes))
 
--- a/hazelhollow/replica/driver.py
+++ b/hazelhollow/replica/driver.py
@@ -17,7 +17,7 @@
 from hazelhollow.replica import exchange, snapshot
 from hazelhollow.replica.counts import Row, Value
 from hazelhollow.replica.words import DIALECT, Recent, Slice
-from hazelhollow.state import Memory
+from hazelhollow.state import Memory, key_of
 
 TENTHS = 10
 SAVE_EVERY = 0.25  # seconds between snapshots; the rate of so long is taken off what one says
@@ -221,7 +221,7 @@
         memory, left = self._memory, list[snapshot.Left]()
         for key in memory.short()[: snapshot.MOST]:
             account = memory.accounts[key]
-            left.append(snapshot.Left(key, account.plan.name, account.first, account.spread, account.budget.level - account.owed))
+            left.append(snapshot.Left(key_of(key), account.plan.name, account.first, account.spread, account.budget.level - account.owed))
         hands = [tuple(one) for one in self.exchange.hands.calls.values()]
         now = self._scheduler.clock()
         self._file.save(snapshot.Snapshot(snapshot.FORMAT, snapshot.VERSION, now, memory.settings.me, left, hands))  # type: ignore[arg-type]
--- a/hazelhollow/state.py
+++ b/hazelhollow/state.py
@@ -128,6 +128,9 @@
         self.votes: dict[float, int] = {}
         self.most = 0.0
 
+    def forget(self) -> None:
+        self.votes, self.most = {}, 0.0
+
     def common(self, patience: float, near: float) -> bool:
         """Counts one more try; whether many come with that patience."""
         for value in self.votes:
@@ -182,13 +185,13 @@
 
     __slots__ = (
         "plan", "used", "open", "budget", "told", "telling", "ceiling", "totals", "theirs", "first", "spread", "hubs",
-        "kept", "owed", "aside", "apart", "apart_at", "back", "copied",
+        "kept", "owed", "aside", "apart", "apart_at", "back", "copied", "name",
     )  # fmt: skip
 
     def __init__(
-        self, plan: api.Plan, level: float, born: float, now: float, whole: bool, keeps: bool = False
+        self, plan: api.Plan, level: float, born: float, now: float, whole: bool, keeps: bool = False, name: str = ""
     ) -> None:
-        self.plan, self.used, self.open = plan, now, 0
+        self.plan, self.used, self.open, self.name = plan, now, 0, name  # the name that this gateway has it under
         self.budget = Store(plan.rate, plan.burst, level, now)
         self.told, self.telling = Store(plan.rate, plan.burst, plan.burst, now), False
         # Empty at the start, unless it is known that nobody was there before: an earlier life of this gateway may
@@ -292,6 +295,11 @@
         self.ceiling.rate, self.ceiling.most = self.plan.ceiling_rate / spread, self.plan.ceiling_burst / spread
 
 
+def key_of(name: str) -> str:
+    """The key in messages of an account's name."""
+    return name.partition(".")[0]
+
+
 class Health:
     """How a server has failed lately."""
 
@@ -378,6 +386,11 @@
     def out(self) -> bool:
         return any([a.out for a in self.attempts])
 
+    def repeat_until(self) -> float:
+        """When what may have run may no longer be repeated: the window counts from the first such attempt."""
+        ran = next((a for a in self.attempts if a.may_have_run), None)
+        return ran.sent_at + self.kind.window if ran and self.kind.effect != "safe" else math.inf
+
     def tried(self, server: Server) -> int:
         """How many attempts have gone to a server."""
         return sum([a.server is server for a in self.attempts]) if self.attempts else 0
@@ -428,12 +441,23 @@
     def retune(self, settings: api.Settings) -> None:
         """Settings read again: classes come, go or change, attempts may be fewer. What is open keeps its class and
         its attempts; what was learned of a class that stays is kept."""
-        self.settings, self.classes = settings, {c.name: c for c in settings.classes}
+        before, self.settings, self.classes = self.classes, settings, {c.name: c for c in settings.classes}
         self.class_of = {gossip.tag(c.name): c.name for c in settings.classes}
         for c in settings.classes:
             self.units.setdefault(c.name, 1.0)
             self.work.setdefault(c.name, c.aim / 6)
-            self.patience.setdefault(c.name, Patience())
+            known = self.patience.setdefault(c.name, Patience())
+            if c.name not in before or before[c.name].deadline != c.deadline:
+                known.forget()  # how long clients waited under another deadline says nothing of now
+
+    def name_of(self, key: str, plan: api.Plan) -> str:
+        """What an account of that key in messages is called here. Two customers may come to one key, and one may change
+        its plan: neither goes by the other's plan, so the second plan's account has a name of its own."""
+        known = self.accounts.get(key)
+        if known and known.plan is plan:
+            return key
+        other = f"{key}.{gossip.tag(plan.name)}"
+        return other if known or other in self.accounts else key
 
     def end(self, request: str) -> None:
         """Nothing is owed any more."""
@@ -454,7 +478,7 @@
         for key, account in self.accounts.items() if changed or event.unused else ():
             account.budget.fill(self.now)
             if account.spread > direct:
-                account.place(account.first, account.spread, self.settings, int(key, 36), hubs, lost)
+                account.place(account.first, account.spread, self.settings, int(key_of(key), 36), hubs, lost)
             account.leave_to(lost, gateways, self.now)
             account.budget.level += account.reclaim(event.unused, gateways)
 
@@ -474,7 +498,7 @@
                 count = self._own_count(account) if not who else self._heard_count(account, who)
                 if count.since:
                     count = count._replace(first=0.0, second=0.0)
-                    found.append(api.Closed(key, account.plan.name, account.first, account.spread, count))
+                    found.append(api.Closed(key_of(key), account.plan.name, account.first, account.spread, count))
         return found
 
     def _own_count(self, account: Account) -> api.Count:
@@ -504,11 +528,12 @@
         counts.sort(key=lambda c: c.first + c.second, reverse=True)  # what is on its way by gossip too
         level = (a.budget if a.hubs_hear(self.settings.me) else a.told).fill(self.now) - a.owed
         level += sum(units for (_, at), units in a.totals.heard.items() if at > self.period)  # of a clock that is ahead: not told
-        return api.Copied(key, a.plan.name, a.first, a.spread, tuple(counts), level, self.period)
+        return api.Copied(key_of(key), a.plan.name, a.first, a.spread, tuple(counts), level, self.period)
 
     def copied(self, event: api.Copied, make: Callable[[str, api.Plan, int, int], Account], pay_back: float) -> None:
         """Counts and whole customers, as peers know them."""
-        plan, account = self.plans.get(event.plan_name), self.accounts.get(event.key)
+        plan = self.plans.get(event.plan_name)
+        account = self.accounts.get(self.name_of(event.key, plan)) if plan else None
         if not event.key and self.known_from == math.inf:
             self.known_from = -math.inf
             for one in self.accounts.values():  # nobody has used what its cautious beginning left to others
@@ -630,7 +655,7 @@
             return ""
         plan, total = gossip.tag(account.plan.name), account.totals.charged.get(period, 0.0)
         open_now = account.open if account.plan.open_limit else 0
-        word = gossip.Charge(key, plan, account.first, account.spread, self.period - period, total, open_now)
+        word = gossip.Charge(key_of(key), plan, account.first, account.spread, self.period - period, total, open_now)
         return gossip.write(word)
 
     def forget(self, least: float, settled: float) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import orjson
@@ -13,7 +14,9 @@
 from hazelhollow import interface as api
 from hazelhollow.net import resp, stream
 from hazelhollow.net.acquirer import LINGER, MOST_LINGERING, MOST_PIPELINED
-from tests.scenario import Stage
+from hazelhollow.net.ending import Ending
+from tests.scenario import BUY, LOOK, SETTINGS, Stage
+from tests.test_gossip_settings import same_key
 from tests.test_scenarios import DO, GET, VALUE, WATCH, ask
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
@@ -227,7 +230,7 @@
     stage.play(f"a send {ask(1)}")
     assert stage.service.stats.legs == 1 and stage.service.stats.opened == 0
     leave(stage, "a", how)
-    assert stage.service.issuers._count == 0 and not stage.service.limiter.open
+    assert not stage.service.issuers._lines and not stage.service.limiter.open
     assert stage.service.stats.dispatches == 0 and len(fillers) == 2
 
 
@@ -247,7 +250,7 @@
     (line,) = stage.service.issuers._hosts["s1"].lines
     assert line.touched() and not line.whole()
     leave(stage, "b", "close")
-    assert stage.service.issuers._count == 0 and not stage.service.limiter.open
+    assert not stage.service.issuers._lines and not stage.service.limiter.open
 
 
 def test_of_many_that_leave_at_mixed_stages_nothing_is_sent_on_later() -> None:
@@ -301,6 +304,129 @@
     assert len(outcomes) == 1 and not stage.service.limiter.open
 
 
+# Hosts
+
+
+def test_a_second_copy_some_milliseconds_late_is_no_other_requests_answer() -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}\ns1 send {VALUE}\na expect $2\\r\\nhi")
+    stage.now += 0.01
+    stage.play(f"b send {ask(2)}\ns1.2 expect {ask(2)}")
+    stage.now += 0.01
+    stage.play(f"s1.1 send {VALUE}\nb expect nothing\ns1.2 send {VALUE.replace('hi', 'no')}\nb expect $2\\r\\nno")
+
+
+def test_half_an_answer_of_a_host_that_is_listed_no_more_is_given_up_too() -> None:
+    stage = Stage(hosts=2)
+    stage.play(f"disco expect {GET}\ndisco send whole 1 s1:in_service\na send {ask(1)}\ns1 expect {ask(1)}\ns1 send *3\\r\\n$20\\r\\nhi")
+    stage.play(f"disco expect {WATCH.format(1)}\ndisco send whole 2 s2:in_service\nwait 0.8\ns1.1 expect closed\ns2 expect {ask(1, 500)}")
+
+
+WINDOW = replace(BUY, window=0.3, group="all")
+UNSAFE = replace(BUY, effect="unsafe")
+
+
+@pytest.mark.parametrize("left", [0.0, 0.2])
+def test_a_repeat_whose_connection_comes_up_after_the_window_is_never_sent(left: float) -> None:
+    """The window is open as the repeat begins, and is over before its connection is there."""
+    stage = Stage(hosts=2, settings=replace(SETTINGS, classes=(LOOK, WINDOW)), connect_timeout=2.0)
+    fillers = unanswering(stage, "s2")
+    stage.play("disco expect " + GET + "\ndisco send whole 1 s1:in_service\n" + f"a send {DO.format(1)}\ns1 expect {DO.format(1)}")
+    stage.play("disco expect " + WATCH.format(1) + "\ndisco send whole 2 s2:in_service\n")
+    stage.now += 0.3 - left - 0.05
+    stage.play("s1 close")
+    (one,) = stage.service.limiter.open.values()
+    assert len(one.legs) == 2 and one.out == 1
+    stage.play(f"wait {left + 0.05}")
+    assert not one.out and not stage.service.issuers._lines and len(fillers) == 2
+    stage.play("a expect -BUSY 250")  # all hosts know its key, so it may be tried anew
+
+
+def test_a_request_that_is_unsafe_to_repeat_is_sent_again_only_if_it_never_ran() -> None:
+    stage = Stage(hosts=2, settings=replace(SETTINGS, classes=(LOOK, UNSAFE), parallel_tries=True))
+    order = DO.format(1)
+    stage.play(f"s1 stop\na send {order}\ns2 expect {order}\ns2.1 expect nothing\ns2 close\na expect -ERR failed")
+    assert stage.service.stats.outcomes["reset"] == 1
+
+
+@pytest.mark.parametrize("first", ["answer", "deadline"])
+def test_an_answer_and_the_deadline_in_one_turn_give_one_answer(first: str) -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
+    host = stage._end("s1")
+    if first == "answer":
+        stage.now += 0.9999
+        host.sendall(stage.bytes_of(VALUE))
+        stage.settle(3)
+        stage.now += 0.01
+    else:
+        stage.now += 1.01
+        host.sendall(stage.bytes_of(VALUE))
+    stage.settle()
+    assert stage._end("a").recv(99) in ((b"$2\r\nhi\r\n",) if first == "answer" else (b"-BUSY 250\r\n", b"-ERR failed\r\n"))
+    stage.play("a expect nothing")
+    assert not stage.service.limiter.open
+
+
+@pytest.mark.parametrize("order", ["cancel first", "answer first"])
+def test_a_cancelled_attempt_and_its_answer_in_one_turn_end_once_and_the_line_serves_nobody_else(order: str) -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
+    issuers = stage.service.issuers
+    (one,) = stage.service.limiter.open.values()
+    (leg,) = one.legs
+    stage._end("s1").sendall(stage.bytes_of(VALUE))
+    if order == "answer first":
+        stage.settle()
+    issuers.give_up(leg, Ending.CANCELLED)
+    issuers.give_up(leg, Ending.TIMED_OUT)
+    stage.settle()
+    assert sum(stage.service.stats.outcomes.values()) == 1
+    if order == "answer first":
+        assert stage.service.stats.outcomes["ok"] == 1 and not one.out and len(issuers._lines) == 1
+    else:  # the module tries again, on another connection
+        stage.play(f"s1.1 expect closed\ns1.2 expect {ask(1)}\ns1.2 send {VALUE}\na expect $2\\r\\nhi")
+
+
+def test_a_leg_given_up_in_the_turn_in_which_its_connection_comes_up_is_not_sent() -> None:
+    stage = Stage(hosts=1)
+    leg = stage.service.issuers.start("s1", b"x" * 10, lambda result: None)
+    stage.scheduler._run()  # its connection is begun, and up by now; that it is has not been read
+    stage.service.issuers.give_up(leg, Ending.CANCELLED)
+    stage.settle()
+    end = stage._end("s1")
+    assert end.recv(99) == b"" and stage.service.stats.dispatches == 0
+
+
+# Ids and settings
+
+
+def test_equal_ids_of_two_customers_are_two_requests() -> None:
+    stage = Stage(hosts=1)
+    other = ask(1).replace("b4d65521", "0badcafe")
+    stage.play(f"a send {ask(1)}\ns1.1 expect {ask(1)}\nb send {other}\ns1.2 expect {other}")
+    stage.play(f"s1.2 send {VALUE.replace('hi', 'no')}\nb expect $2\\r\\nno\ns1.1 send {VALUE}\na expect $2\\r\\nhi")
+    assert not stage.service.limiter.open
+
+
+def test_an_id_whose_first_owner_has_gone_while_its_attempt_is_out_is_anothers_too() -> None:
+    stage = Stage(hosts=1)
+    other = ask(1).replace("b4d65521", "0badcafe")
+    stage.play(f"a send {ask(1)}\ns1.1 expect {ask(1)}\na close\nb send {other}\ns1.2 expect {other}\ns1.1 send {VALUE}\nb expect nothing")
+    stage.play(f"s1.2 send {VALUE.replace('hi', 'no')}\nb expect $2\\r\\nno")
+
+
+def test_a_customer_does_not_go_by_the_plan_of_another_that_has_its_key_in_messages() -> None:
+    scarce = replace(SETTINGS.plans[0], name="scarce", rate=0.001, burst=2.0, over_worth=0.0, over_cost=1.0)
+    stage = Stage(hosts=1, settings=replace(SETTINGS, gateways=1, plans=(*SETTINGS.plans, scarce)))
+    first, second = same_key(stage.service.gateway)
+    lean, full = (
+        ask(n, 3000).replace("00000000b4d65521", who).replace("spread=2", "spread=1") for n, who in ((1, first), (2, second))
+    )
+    lean = lean.replace("t=basic", "t=scarce").replace("units=1", "units=2")
+    stage.play(f"a send {lean}\ns1 expect {lean}\na send {full}\ns1.2 expect {full}")
+
+
 # The watch
 
 
@@ -441,3 +567,15 @@
     watched(stage)
     stage.play("disco send table 3 s2:terminating")
     assert stage.service.table.version == 5 and "s2" in stage.service.table.open_addresses()
+
+
+def test_an_attempt_that_has_not_left_for_a_host_put_out_by_hand_goes_elsewhere() -> None:
+    stage = Stage(hosts=2)
+    fillers = unanswering(stage, "s1")
+    watched(stage)
+    stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 6, "s1:in_service")))
+    stage.play(f"a send {ask(1)}")
+    assert len(stage.service.issuers._lines) == 1 and len(fillers) == 2
+    stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 7, "s1:in_service", "s2:in_service")))
+    stage.service.set_bans({"s1"})
+    stage.play(f"s2 expect {ask(1)}")
--- a/tests/test_gossip_settings.py
+++ b/tests/test_gossip_settings.py
@@ -47,6 +47,38 @@
     assert sum(list(old.accounts.values())[1].totals.heard.values()) == 7.0
 
 
+def same_key(gateway: Gateway) -> tuple[str, str]:
+    """Two customers that come to one key in messages."""
+    seen: dict[str, str] = {}
+    for number in range(200_000):
+        customer = f"{number:016x}"
+        other = seen.setdefault(gateway._key(customer), customer)
+        if other != customer:
+            return other, customer
+    raise AssertionError("none found")
+
+
+def test_two_customers_of_one_key_do_not_go_by_each_others_plan() -> None:
+    one, peer = gateway(0, BRONZE, GOLD), gateway(1, BRONZE, GOLD)
+    bronze, gold = same_key(one)
+    ask(one, 1000.1, "look", plan_name="bronze", spread=2, customer=bronze)
+    ask(one, 1000.2, "look", plan_name="gold", spread=2, units=5.0, customer=gold)
+    ask(one, 1000.3, "look", plan_name="bronze", spread=2, customer=bronze)
+    told(one, peer, 1000.4)
+    assert {(a.plan.name, a.totals.sum()) for a in one.accounts.values()} == {("bronze", 2.0), ("gold", 5.0)}
+    assert {(a.plan.name, sum(a.totals.heard.values())) for a in peer.accounts.values()} == {("bronze", 2.0), ("gold", 5.0)}
+
+
+def test_a_customer_that_changes_its_plan_goes_by_the_new_one_also_after_the_old_account_is_forgotten() -> None:
+    one = gateway(0, BRONZE, GOLD)
+    ask(one, 1000.1, "look", plan_name="bronze", spread=2)
+    ask(one, 1000.2, "look", plan_name="gold", spread=2)
+    del one.accounts[next(iter(one.accounts))]
+    ask(one, 1000.3, "look", plan_name="gold", spread=2)
+    (account,) = one.accounts.values()
+    assert account.plan == GOLD and account.totals.sum() == 2.0
+
+
 def test_a_plan_that_these_settings_do_not_have_costs_its_word_alone_and_is_said_once() -> None:
     old, new = gateway(0, GOLD), gateway(1, BRONZE, GOLD)
     for customer in "abc":
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -11,6 +12,7 @@
 from hazelhollow import interface as api
 from hazelhollow.decide import Gateway
 from tests.test_gateway import BASIC, LOOKUP, answer, ask, entry, make, only, servers
+from tests.test_gossip_settings import same_key
 
 FLEET, SPREAD = 40, 30
 
@@ -56,6 +58,23 @@
     assert sum(a.telling for g in gateways for a in g.accounts.values()) >= SPREAD - 1
 
 
+def test_a_large_set_tells_two_customers_of_one_key_apart_by_their_plans() -> None:
+    gateways = fleet(plans=(BASIC, replace(BASIC, name="other")))
+    other, busy = same_key(gateways[0])
+    for me in range(SPREAD):  # has the key's own name everywhere
+        deliver(gateways, me, ask(gateways[me], 99.9, spread=SPREAD, units=0.1, customer=other, plan_name="other"), 99.9)
+    sent = 0
+    for turn in range(3 * SPREAD):
+        now, me = 100.0 + turn / 100, turn % SPREAD
+        actions = ask(gateways[me], now, spread=SPREAD, units=2.0, customer=busy)
+        sent += len(only(actions, api.Send))
+        deliver(gateways, me, actions, now)
+    assert 4 <= sent <= 8
+    telling = [a.plan.name for g in gateways for a in g.accounts.values() if a.telling]
+    assert len(telling) >= SPREAD - 1 and set(telling) == {"basic"}
+    assert not any(g.unread for g in gateways)
+
+
 @pytest.mark.parametrize("run", range(4))
 def test_summed_admission_holds_through_loss_delay_repeats_and_restarts(run: int) -> None:
     """A customer that asks three times its rate through thirty gateways gets its quota and a quarter at most."""
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -13,6 +13,7 @@
 from hazelhollow import interface as api
 from hazelhollow.config import ConfigError
 from tests.scenario import BUY, LOOK, Stage
+from tests.test_endings import unanswering
 from tests.test_gateway import answer, ask, make, only
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "example.json"
@@ -114,3 +115,31 @@
     answer(gateway, first, 100.1, "ok")  # its class is gone: it ends all the same
     assert "r1" not in gateway.held or gateway.held["r1"].ended
     assert not only(ask(gateway, 100.2, kind="issue"), api.Send)  # a class that is gone is sent nowhere
+
+
+def test_how_long_clients_waited_under_another_deadline_says_nothing_of_now() -> None:
+    gateway = make(0, gateways=20)
+    known = {name: gateway.patience[name] for name in ("lookup", "issue")}
+    for patience in known.values():
+        assert patience.longest(3.0)
+    lookup, *rest = gateway.settings.classes
+    gateway.retune(replace(gateway.settings, classes=(replace(lookup, deadline=lookup.deadline / 2), *rest)))
+    assert known["lookup"].longest(1.5) and not known["issue"].longest(1.5)
+
+
+def test_a_new_time_for_connections_to_come_up_holds_at_once() -> None:
+    stage = Stage(hosts=1, connect_timeout=2.0)
+    fillers = unanswering(stage)
+    stage.service.reload(lambda: replace(stage.config, connect_timeout=0.1))
+    stage.play("a send [Q.ASK 00000000b4d65521 r1 c=look,t=basic,d=1000,units=1,spread=2,first=0]\nwait 0.15")
+    assert stage.service.stats.outcomes["connect_failed"] == 1 and len(fillers) == 2
+
+
+def test_a_request_on_its_way_while_its_class_gets_a_shorter_deadline_keeps_its_own() -> None:
+    stage = Stage(hosts=1)
+    words = "[Q.ASK 00000000b4d65521 r{0} c=look,t=basic,d={1},units=1,spread=2,first=0]"
+    settings = replace(stage.config.settings, classes=(replace(LOOK, deadline=1.2), BUY))
+    stage._end("a").sendall(stage.bytes_of(words.format(1, 2900)))  # it lies unread
+    stage.service.reload(lambda: replace(stage.config, settings=settings))
+    stage.play(f"s1 expect {words.format(1, 2900)}\nwait 2.5\na expect nothing")
+    stage.play(f"b send {words.format(2, 3001)}\nb expect -ERR d out of range")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -60,6 +60,7 @@
         s1.2 expect {ask(2)}
         s1.2 send {VALUE}
         b expect $2\\r\\nhi
+        wait 0.05
         b send {ask(3)}
         s1.2 expect {ask(3)}
         s1.1 expect nothing""",
@@ -126,10 +127,19 @@
         s1 send {VALUE}
         a expect $2\\r\\nhi
         a send {ask(2)}
-        s1 expect {ask(2)}
-        s1 send {VALUE}
+        s1.2 expect {ask(2)}
+        s1.1 send {VALUE}
+        a expect nothing
+        s1.2 send {VALUE.replace("hi", "no")}
+        a expect $2\\r\\nno
+        wait 0.05
+        a send {ask(3)}
+        s1.2 expect {ask(3)}
+        b send {ask(4)}
         s1.1 expect closed
-        a expect nothing""",
+        s1.3 expect {ask(4)}
+        a expect nothing
+        b expect nothing""",
     "figures that can't be read spoil no answer": f"""
         a send {ask(1)}
         s1 expect {ask(1)}
@@ -263,6 +273,7 @@
         disco2 expect {WATCH.format(1)}
         s1.1 send {VALUE}
         a expect $2\\r\\nhi
+        wait 0.05
         a send {ask(2)}
         s1.1 expect {ask(2)}
         disco2 reload
@@ -291,7 +302,7 @@
     stage = Stage(hosts=1)
     stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}\na close")
     assert stage.service.stats.clients_gone == 1 and len(stage.service.limiter.open) == 1
-    stage.play(f"s1 send {VALUE}\nb send {ask(2)}\ns1.1 expect {ask(2)}")
+    stage.play(f"s1 send {VALUE}\nwait 0.05\nb send {ask(2)}\ns1.1 expect {ask(2)}")
     assert stage.service.stats.served == 0 and list(stage.service.limiter.open) == ["r2"]
 
 
@@ -441,7 +452,7 @@
     for number in range(8):
         stage.play(f"c{number} send {ask(number)}")
     stage.settle()
-    assert stage.service.stats.no_descriptor >= 2 and stage.service.issuers._count == 6
+    assert stage.service.stats.no_descriptor >= 2 and len(stage.service.issuers._lines) == 6
     for number in range(20):
         stage.play(f"d{number} send [CLIENT]\nd{number} expect +OK")
     assert len(stage.service.acquirer.sessions) <= 9
