--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,81 @@
+"""KNOWN-RED.txt, on a small suite of its own run by pytest as a program."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.known_red import Known, read
+
+SUITE = """
+def test_red(): assert False
+def test_green(): pass
+"""
+ROOT = Path(__file__).parent.parent
+
+
+@pytest.mark.parametrize(
+    ("text", "why"),
+    [
+        ("tests/a.py::test_x", "line 1: not"),
+        ("# none\n\na.py::t | | issue 3", "line 3: not"),
+        ("a.py::t | cause | 31", "line 1: '31' is not"),
+        ("a.py | cause | issue 31", "names no test"),
+        ("a.py::t | cause | issue 31\na.py::t | other | issue 32", "line 2: a.py::t stands twice"),
+        ("\n".join(f"a.py::t{n} | cause | issue 31" for n in range(4)), "line 4: more than 3"),
+    ],
+)
+def test_a_bad_line_is_an_error_that_names_it(text: str, why: str) -> None:
+    with pytest.raises(ValueError, match=why):
+        read(text)
+
+
+def test_lines_are_read_and_notes_left_out() -> None:
+    assert read("# note\n\na.py::t | why | issue 3\n") == [Known("a.py::t", "why", "issue 3")]
+
+
+def run(folder: Path, known: str | None, *args: str) -> tuple[int, str]:
+    (folder / "pytest.ini").write_text("[pytest]\ntestpaths = suite\naddopts = -p tests.known_red\n")
+    (folder / "suite").mkdir()
+    (folder / "suite" / "test_it.py").write_text(SUITE)
+    if known is not None:
+        (folder / "KNOWN-RED.txt").write_text(known)
+    command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *args]
+    done = subprocess.run(command, cwd=folder, env={"PYTHONPATH": str(ROOT)}, capture_output=True, text=True)
+    return done.returncode, done.stdout + done.stderr
+
+
+RED = "suite/test_it.py::test_red | it is false | issue 31\n"
+
+
+def test_a_known_red_test_is_passed_over_and_printed(tmp_path: Path) -> None:
+    code, said = run(tmp_path, RED)
+    assert code == 0 and "known red, fails: suite/test_it.py::test_red: it is false (issue 31)" in said
+
+
+def test_one_that_passes_is_said_to(tmp_path: Path) -> None:
+    code, said = run(tmp_path, RED + "suite/test_it.py::test_green | was slow | issue 31\n")
+    assert code == 0 and "known red, PASSES, take its line out: suite/test_it.py::test_green" in said
+
+
+@pytest.mark.parametrize("known", [None, "", "suite/test_it.py::test_green | was slow | issue 31\n"])
+def test_any_other_failure_fails_the_run(known: str | None, tmp_path: Path) -> None:
+    assert run(tmp_path, known)[0] == 1
+
+
+def test_one_that_is_not_found_is_an_error(tmp_path: Path) -> None:
+    code, said = run(tmp_path, RED + "suite/test_it.py::test_gone | no more | issue 31\n")
+    assert code not in (0, 1) and "there is no test suite/test_it.py::test_gone" in said
+
+
+def test_one_that_was_not_asked_for_is_no_error(tmp_path: Path) -> None:
+    code, said = run(tmp_path, RED, "suite/test_it.py::test_green")
+    assert code == 0 and "known red, not run" in said
+
+
+def test_a_bad_line_stops_the_run(tmp_path: Path) -> None:
+    code, said = run(tmp_path, "suite/test_it.py::test_red\n")
+    assert code not in (0, 1) and "KNOWN-RED.txt, line 1" in said
