--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -15,7 +15,7 @@
 from hazelhollow.config import Config, ConfigError
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
-from hazelhollow.net.acquirer import KEPT_SHARE, MEMORY_SHARE, Acquirer, Terms
+from hazelhollow.net.acquirer import KEPT_SHARE, LINGER, MEMORY_SHARE, Acquirer, Terms
 from hazelhollow.net.bans import BanFile, path_for
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Decisions, Limiter
@@ -217,7 +217,9 @@
         self.acquirer.finish()
         self.scheduler.wait(until=began + STAY)
         self.acquirer.close()
-        while not self.acquirer.empty():
+        # By then each answer has been due; who has not taken its own will not.
+        until = began + STAY + max(self.acquirer.terms.longest.values(), default=0.0) + LINGER
+        while not self.acquirer.empty() and self.scheduler.clock() < until:
             self.acquirer.finish(taking=False)
             self.scheduler.sleep(STEP)
         if self.attached:
--- /dev/null
+++ b/tests/test_floods.py
@@ -0,0 +1,73 @@
+"""Clients that send more than is good for the others: those still get their answers, and what is held stays bounded."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from hazelhollow.net import resp
+from hazelhollow.net.acquirer import MOST_LINGERING, MOST_OUT, MOST_PIPELINED
+from tests.scenario import Stage
+from tests.test_scenarios import VALUE, ask
+
+
+def test_others_are_answered_beside_a_pipelined_flood_and_the_flood_has_no_more_than_its_places() -> None:
+    stage = Stage(hosts=1)
+    flood = stage._end("a")
+    words = b"".join(stage.bytes_of(ask(1000 + number)) for number in range(2000))
+    sent = 0
+    for _ in range(30):
+        try:
+            sent += flood.send(words[sent : sent + 65536])
+        except BlockingIOError:
+            pass
+        stage.settle(2)
+        assert len(stage.service.limiter.open) <= MOST_PIPELINED + 1
+    assert stage.service.stats.requests and stage.service.stats.legs <= MOST_PIPELINED  # of which no host answers one
+    other = stage._end("b")
+    other.sendall(stage.bytes_of(ask(1)))
+    stage.play("wait 0.1")
+    assert other.recv(99) == b"-BUSY 250\r\n"  # nor would the hosts take another: it is told so at once
+    flood.close()
+    stage.play("wait 1.1")
+    assert not stage.service.limiter.open and not stage.service.issuers._lines
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "half a command", "junk"])
+def test_hundreds_of_short_connections_keep_nobody_from_an_answer_and_leave_nothing(how: str) -> None:
+    stage = Stage(hosts=1, sockets=96)
+    most = stage.service.acquirer._most + MOST_LINGERING
+    for number in range(400):
+        sock = socket.create_connection(stage.service.acquirer.address)
+        if how == "half a command":
+            sock.sendall(stage.bytes_of(ask(number))[:50])
+        if how == "junk":
+            sock.sendall(b"junk\r\n" * 50)
+        if how == "reset":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.close()
+        stage.settle(2)
+        acquirer = stage.service.acquirer
+        assert len(acquirer.sessions) + len(acquirer.lingering) <= most + 16  # as many are let in at a time
+        if number % 100 == 50:
+            stage.play(f"b{number} send {ask(number)}\ns1 expect {ask(number)}\ns1 send {VALUE}\nb{number} expect $2\\r\\nhi\nwait 0.05")
+    for number in range(50, 400, 100):
+        stage.play(f"b{number} close")
+    stage.play("wait 1.2")
+    assert stage.service.acquirer.empty() and not stage.service.limiter.open
+    assert stage.service.stats.requests == 4 == stage.service.stats.dispatches
+
+
+def test_a_flood_of_calls_that_ask_for_no_work_is_held_back_and_bounded() -> None:
+    stage = Stage(hosts=1)
+    flood = stage._end("a")
+    for _ in range(200):
+        try:
+            flood.send(resp.command([b"INFO"]) * 200)
+        except BlockingIOError:
+            break
+        stage.settle(2)
+    (session,) = stage.service.acquirer.sessions
+    assert session.held() <= MOST_OUT + 2 * 65536 + MOST_PIPELINED * 4096
+    stage.play(f"b send {ask(1)}\ns1 expect {ask(1)}\ns1 send {VALUE}\nb expect $2\\r\\nhi")
