--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,74 @@
+"""What the platform starts: the command of the deploy file, and that nothing in it or in the program is one deployment's."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+
+import orjson
+import pytest
+
+from tests.test_net_parts import GOOD
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+# Of the two organisations that run it and of the one that the operators add; those of the sites here are read from them.
+NAMES = {
+    "espoo-main", "order-place", "schedule-read", "stock-check", "pieni", "perus", "laaja", "kumppani", "hall-a", "api-fleet",
+    "zaventem-main", "ticket-lookup", "groot", "machelen-room", "booking-servers", "hcm-lookup", "lookup-fleet",
+}  # fmt: skip
+
+
+def names_of_sites() -> Iterator[str]:
+    """Of sites, tiers, classes, plans, kinds and zones, where a word is nobody else's."""
+    for path in (ROOT / "deploy" / "sites").glob("*.toml"):
+        site = tomllib.loads(path.read_text())
+        yield site["name"]
+        yield from site["net"]["zones"]
+        for part in ("tier", "grade", "class", "tenant"):
+            yield from (one["name"] for one in site.get(part, []) if "-" in one["name"])
+
+
+def test_nothing_in_the_program_or_its_deploy_file_is_one_deployments() -> None:
+    sources = [ROOT / "deploy" / "balancer.toml", *(ROOT / "hazelhollow").glob("*.py"), *(ROOT / "hazelhollow" / "net").glob("*.py")]
+    assert len(sources) > 25
+    names = NAMES | set(names_of_sites())
+    assert {"tram-tickets", "clinic-desk", "depot-north"} <= names
+    found = [(path.name, name) for path in sources for name in names if name in path.read_text()]
+    assert not found
+
+
+def status(pid: int) -> dict[str, str]:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return {name: value.strip() for name, _, value in (line.partition(":") for line in lines)}
+
+
+@pytest.mark.skipif(not Path("/proc/self/status").exists(), reason="tells of processes by /proc")
+def test_the_command_becomes_the_limiter_in_one_process_that_no_sighup_ends(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps({**GOOD, "listen": "127.0.0.1:0"}))
+    assert ".venv/bin/python" in DEPLOY["run"]
+    command = DEPLOY["run"].replace(".venv/bin/python", sys.executable)
+    environment = {"RELAY_CONFIG": str(path), "TMPDIR": str(tmp_path), "PATH": "/usr/bin:/bin"}
+    with subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, text=True, stderr=subprocess.PIPE) as program:
+        assert program.stderr
+        assert any("listens at" in line for line in program.stderr)
+        assert "serve" in Path(f"/proc/{program.pid}/cmdline").read_text().split("\0")  # the shell is gone
+        assert status(program.pid)["Threads"] == "1"
+        assert not Path(f"/proc/{program.pid}/task/{program.pid}/children").read_text().split()
+        program.send_signal(signal.SIGHUP)
+        assert any("reloaded" in line for line in program.stderr)
+        program.send_signal(signal.SIGTERM)
+        assert program.wait(30) == 0
+
+
+def test_a_sighup_before_the_program_reads_anything_is_let_pass(tmp_path: Path) -> None:
+    """In place of the limiter a program that says which signals it began with ignoring."""
+    tail = DEPLOY["run"].partition("exec ")[0] + "exec cat /proc/self/status"
+    said = subprocess.run(["/bin/sh", "-c", tail], text=True, capture_output=True, timeout=30).stdout
+    ignored = int(next(line for line in said.splitlines() if line.startswith("SigIgn")).split()[1], 16)
+    assert ignored >> (signal.SIGHUP - 1) & 1 and not ignored >> (signal.SIGTERM - 1) & 1
