--- a/hazelhollow/net/acquirer.py
+++ b/hazelhollow/net/frontend.py
@@ -1,4 +1,4 @@
-"""The acquirer side: clients' connections, their commands, and the answers in the order of the commands."""
+"""The client side: clients' connections, their commands, and the answers in the order of the commands."""
 
 from __future__ import annotations
 
@@ -156,9 +156,9 @@
 class Session:
     """One connection of a client."""
 
-    def __init__(self, acquirer: Acquirer, driver: stream.Stream) -> None:
-        now = acquirer.scheduler.clock()
-        self._acquirer, self._driver = acquirer, driver
+    def __init__(self, frontend: Frontend, driver: stream.Stream) -> None:
+        now = frontend.scheduler.clock()
+        self._frontend, self._driver = frontend, driver
         self._parser = resp.Parser()
         self._slots: deque[Slot] = deque()
         self._progress = (0, 0.0)  # bytes taken by the client, and since when
@@ -190,21 +190,21 @@
         sending side alone is shut, and the session's own task reads on to the client's end."""
         if self._lingers:
             return
-        acquirer = self._acquirer
-        acquirer.drop(self)
+        frontend = self._frontend
+        frontend.drop(self)
         slots, self._slots = self._slots, deque()
         if ending in ORDERLY and not slots:
             self._driver.end_sending()
         if ending in ORDERLY and not slots and self._driver.ending is None:
             self._lingers = ending
-            acquirer.lingers(self)
+            frontend.lingers(self)
             self._driver.wake()
         else:
             self._driver.close(ending)
         for slot in slots:
             one, slot.open = slot.open, None
             if one:
-                acquirer.limiter.gone(one)
+                frontend.limiter.gone(one)
 
     def _linger(self) -> None:
         """What comes now crossed the end: it is read by nobody, and its client sends it again elsewhere."""
@@ -215,14 +215,14 @@
     def forgo(self) -> None:
         """No more waiting for the client's end."""
         self._driver.close(self._lingers or Ending.SHUTDOWN)
-        self._acquirer.lingering.pop(self, None)
+        self._frontend.lingering.pop(self, None)
 
     def resting(self) -> bool:
         """Between requests, so that it may be closed: also none waits unread, which the client would have lost."""
         return not self._is_awaited() and self._settled() and self._parser.idle() and self._driver.alive()
 
     def _is_awaited(self) -> bool:
-        return self._acquirer.scheduler.clock() < self._awaited
+        return self._frontend.scheduler.clock() < self._awaited
 
     def _settled(self) -> bool:
         return not self._slots and not self._driver.out
@@ -263,7 +263,7 @@
         self._allowed -= 1.0
 
     def _refill(self) -> None:
-        now = self._acquirer.scheduler.clock()
+        now = self._frontend.scheduler.clock()
         filled = self._allowed + TURNED_AWAY * (now - self._allowed_at)
         self._allowed, self._allowed_at = min(TURNED_AWAY_AT_ONCE, filled), now
 
@@ -280,13 +280,13 @@
             slots.popleft()
             self._driver.write(answer)
         if not slots:
-            self.idle_since = self._acquirer.scheduler.clock()
-            self._acquirer.rests(self)
+            self.idle_since = self._frontend.scheduler.clock()
+            self._frontend.rests(self)
         if self.finishing or self._doomed is not None or (full and len(slots) < MOST_PIPELINED):
             self._driver.wake()
 
     def _serve(self) -> Ending:
-        driver, clock = self._driver, self._acquirer.scheduler.clock
+        driver, clock = self._driver, self._frontend.scheduler.clock
         while driver.ending is None and not self._lingers:
             if self._doomed is not None or self.finishing:
                 driver.flush()
@@ -316,7 +316,7 @@
                 if isinstance(data, Ending):
                     return data
                 if data and self._doomed is None:
-                    self._came = self._acquirer.scheduler.started_turn
+                    self._came = self._frontend.scheduler.started_turn
                     self._take(data)
         return driver.ending or Ending.SHUTDOWN
 
@@ -334,8 +334,8 @@
 
     def _malformed(self, why: str) -> None:
         """One plain error, behind the answers that are due; nothing more is read."""
-        self._acquirer.stats.malformed += 1
-        self._doomed = self._acquirer.scheduler.clock()
+        self._frontend.stats.malformed += 1
+        self._doomed = self._frontend.scheduler.clock()
         slot = Slot(self)
         self._slots.append(slot)
         slot.refused(f"protocol error: {why}")
@@ -350,62 +350,62 @@
                 if self._parser.idle():
                     self._begun = None
                 elif self._begun is None:
-                    self._begun = self._acquirer.scheduler.clock()
+                    self._begun = self._frontend.scheduler.clock()
                 return
             if not isinstance(value, list) or not value or not all(isinstance(w, bytes) for w in value):
                 raise resp.ProtocolError("a command is an array of strings")
             words: list[bytes] = [w for w in value if isinstance(w, bytes)]
             slot = Slot(self)
             self._slots.append(slot)
-            self._acquirer.works(self)
+            self._frontend.works(self)
             self._begun, self._awaited, self._spoke = None, 0.0, True
             self._command(words, slot)
             if self._bad >= MOST_BAD:
                 # Each bad command has had its answer: one more would be taken for the answer to the next.
-                self._acquirer.stats.malformed += 1
-                self._doomed = self._acquirer.scheduler.clock()
+                self._frontend.stats.malformed += 1
+                self._doomed = self._frontend.scheduler.clock()
                 return
         self._more = True
 
     def _ask(self, words: list[bytes], slot: Slot, came: float) -> None:
-        acquirer = self._acquirer
+        frontend = self._frontend
         if self._driver.ending is not None:
             return  # the client has gone while it waited: nobody is owed anything
         try:
-            ask = Ask(words, acquirer.terms.read(words, acquirer.scheduler.clock() - came))
+            ask = Ask(words, frontend.terms.read(words, frontend.scheduler.clock() - came))
         except BadCommand as error:
-            acquirer.stats.bad += 1
+            frontend.stats.bad += 1
             self._bad += 1
             slot.refused(str(error))
             return
         self._bad = 0
         slot.size = ask.size
-        slot.open = acquirer.limiter.ask(ask, slot)
+        slot.open = frontend.limiter.ask(ask, slot)
 
     def _command(self, words: list[bytes], slot: Slot) -> None:
-        verb, acquirer = words[0].upper(), self._acquirer
+        verb, frontend = words[0].upper(), self._frontend
         if verb in (b"Q.ASK", b"Q.DO"):
             came = self._came
-            if acquirer.is_ready():
+            if frontend.is_ready():
                 self._ask(words, slot, came)
             else:
                 # The list that it was started with may be old: a host that it names may drain by now. Discovery's
                 # first answer comes within some milliseconds; until then, or READY_WITHIN, requests wait here.
-                acquirer.when_ready(lambda: self._ask(words, slot, came))
+                frontend.when_ready(lambda: self._ask(words, slot, came))
             return
         self.turned_away()
         if verb == b"PING":
-            acquirer.when_ready(lambda: slot.settle(b"+PONG\r\n"))
+            frontend.when_ready(lambda: slot.settle(b"+PONG\r\n"))
         elif verb in (b"CLIENT", b"SELECT"):
             slot.settle(b"+OK\r\n")
         elif verb == b"INFO":
-            slot.settle(resp.bulk(acquirer.stats.text().encode()))
+            slot.settle(resp.bulk(frontend.stats.text().encode()))
         else:
             self._bad += 1
             slot.settle(b"-ERR unknown command\r\n")
 
 
-class Acquirer:
+class Frontend:
     """The listening socket and the sessions that it has brought."""
 
     def __init__(
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -30,7 +30,7 @@
 
 
 class Caller(Protocol):
-    """The acquirer side of one request, whatever protocol it came by. It gets one of these calls, once."""
+    """The client side of one request, whatever protocol it came by. It gets one of these calls, once."""
 
     def served(self, value: bytes) -> None: ...
     def declined(self, wait_ms: int) -> None: ...
@@ -38,7 +38,7 @@
 
 
 class Ask(Protocol):
-    """One request, as the acquirer side has read it."""
+    """One request, as the client side has read it."""
 
     request: api.Request
 
@@ -75,7 +75,7 @@
         self.most_units = 0.0  # that an answer may settle; 0 where units are not settled afterwards
         self._log = Sparse(log, scheduler.clock)
 
-    # The acquirer side
+    # The client side
 
     def ask(self, ask: Ask, caller: Caller) -> Open | None:
         """Takes a request. What is not answered at once gives a record, to be given to `gone` if its client leaves."""
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -15,8 +15,8 @@
 from hazelhollow.config import Config, ConfigError
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
-from hazelhollow.net.acquirer import KEPT_SHARE, LINGER, MEMORY_SHARE, Acquirer, Terms
 from hazelhollow.net.bans import BanFile, path_for
+from hazelhollow.net.frontend import KEPT_SHARE, LINGER, MEMORY_SHARE, Frontend, Terms
 from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Decisions, Limiter
 from hazelhollow.net.operator import Address
@@ -72,7 +72,7 @@
                 scheduler, self.stats, config.peer_listen, config.peers, self.limiter.heard
             )
         held = int(config.memory_mb * 2**20 * MEMORY_SHARE)
-        self.acquirer = Acquirer(
+        self.frontend = Frontend(
             scheduler,
             self.stats,
             self.limiter,
@@ -95,10 +95,10 @@
         self.scheduler.spawn_lasting(self.watch.run, "watch")
         if self.limiter.peers:
             self.scheduler.spawn_lasting(self.limiter.peers.run, "peers")
-        self.scheduler.spawn_lasting(self.acquirer.run, "acquirer")
+        self.scheduler.spawn_lasting(self.frontend.run, "frontend")
         if self.operator:
             self.scheduler.spawn_lasting(self.operator.run, "operator")
-        self.scheduler.at(self.scheduler.clock() + READY_WITHIN, self.acquirer.ready)
+        self.scheduler.at(self.scheduler.clock() + READY_WITHIN, self.frontend.ready)
 
     def own_figures(self) -> dict[str, Any]:
         stats, listed = self.stats, self.table.entries
@@ -149,7 +149,7 @@
         # then chooses anew from the list as it stands.
         self.limiter.told(event)
         self._update_hosts()
-        self.acquirer.ready()
+        self.frontend.ready()
 
     def _update_hosts(self) -> None:
         """A leg that has not left for a host that drains, is gone or was put out by hand never will."""
@@ -180,7 +180,7 @@
             # Requests that are open keep the class and the attempts that they came with; new ones take the new.
             self.settings = settings
             self.gateway.retune(settings)
-            self.acquirer.terms = Terms(settings, self.acquirer.terms)
+            self.frontend.terms = Terms(settings, self.frontend.terms)
             self.limiter.most_units = settings.max_units if settings.post_paid else 0.0
             log.info("settings: classes %s", ", ".join(c.name for c in settings.classes))
 
@@ -214,13 +214,13 @@
 
     def _leave(self, began: float) -> None:
         self.scheduler.wait(until=began + LEAVE_AFTER)
-        self.acquirer.finish()
+        self.frontend.finish()
         self.scheduler.wait(until=began + STAY)
-        self.acquirer.close()
+        self.frontend.close()
         # By then each answer has been due; who has not taken its own will not.
-        until = began + STAY + max(self.acquirer.terms.longest.values(), default=0.0) + LINGER
-        while not self.acquirer.empty() and self.scheduler.clock() < until:
-            self.acquirer.finish(taking=False)
+        until = began + STAY + max(self.frontend.terms.longest.values(), default=0.0) + LINGER
+        while not self.frontend.empty() and self.scheduler.clock() < until:
+            self.frontend.finish(taking=False)
             self.scheduler.sleep(STEP)
         if self.attached:
             self.attached.end()
@@ -243,7 +243,7 @@
 
     def ready(self) -> bool:
         service = self._service
-        return service.acquirer.is_ready() and not service.leaving and (not service.attached or service.attached.ready())
+        return service.frontend.is_ready() and not service.leaving and (not service.attached or service.attached.ready())
 
     def figures(self) -> dict[str, Any]:
         """As of now, from the start of this process."""
@@ -293,7 +293,7 @@
     service.start()
     if counters:
         service.print_counters_every(counters)
-    log.info("%s listens at %s:%d", config.name, *service.acquirer.address)
+    log.info("%s listens at %s:%d", config.name, *service.frontend.address)
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 100)
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -13,7 +13,7 @@
 class Stats:
     def __init__(self) -> None:
         self.at = 0.0  # Unix time in seconds of a line that is printed again and again
-        self.accepted = self.commands = self.malformed = self.bad = self.relieved = 0  # acquirer side
+        self.accepted = self.commands = self.malformed = self.bad = self.relieved = 0  # client side
         self.requests = self.served = self.declined = self.failed = self.clients_gone = 0
         self.declines: Counter[str] = Counter()  # by the module's reason
         self.rescued = 0  # requests answered here because the module had not
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -68,7 +68,7 @@
         self.service = Service(self.config, self.scheduler, attached)
         self.service.start()
         if heard:
-            self.service.acquirer.ready()
+            self.service.frontend.ready()
         self.settle()
 
     def _listener(self) -> socket.socket:
@@ -124,7 +124,7 @@
                     moment(self.listeners[name])
         elif not ends:
             operator = self.service.operator
-            address = operator.address if name.startswith("op") and operator else self.service.acquirer.address
+            address = operator.address if name.startswith("op") and operator else self.service.frontend.address
             ends.append(socket.create_connection(address))
             ends[0].setblocking(False)
         assert ends, "no connection"
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,8 +13,8 @@
 
 from hazelhollow import interface as api
 from hazelhollow.net import resp, stream
-from hazelhollow.net.acquirer import LINGER, MOST_LINGERING, MOST_PIPELINED
 from hazelhollow.net.ending import Ending
+from hazelhollow.net.frontend import LINGER, MOST_LINGERING, MOST_PIPELINED
 from tests.scenario import BUY, LOOK, SETTINGS, Stage
 from tests.test_gossip_settings import same_key
 from tests.test_scenarios import DO, GET, VALUE, WATCH, ask
@@ -58,14 +58,14 @@
 
 CLOSES: dict[str, Callable[[Stage], object]] = {
     "idle": lambda stage: stage.play("wait 11"),
-    "room": lambda stage: stage.service.acquirer._close_idlest(),
+    "room": lambda stage: stage.service.frontend._close_idlest(),
     "kept": lambda stage: keep_none(stage),
     "sigterm": lambda stage: told_to_end(stage, 0.6),
 }
 
 
 def keep_none(stage: Stage) -> None:
-    stage.service.acquirer._most_kept = 0
+    stage.service.frontend._most_kept = 0
     stage.play("wait 0.2\nb send [SELECT 0]")
 
 
@@ -86,7 +86,7 @@
     assert not stage.service.stats.requests  # it is read after the end, and its client sends it again elsewhere
     end.close()
     stage.settle()
-    assert not stage.service.acquirer.lingering
+    assert not stage.service.frontend.lingering
 
 
 JUNK = {
@@ -121,24 +121,24 @@
     answered(stage)
     stage.play("wait 11")
     stage.play(f"wait {LINGER + 0.1}")
-    assert stage.service.acquirer.empty()
+    assert stage.service.frontend.empty()
 
 
 def test_connections_ended_here_hold_no_more_than_so_many_descriptors() -> None:
     stage = Stage(hosts=1, sockets=0)  # room for nine clients
     for number in range(60):
         stage.play(f"c{number} send [SELECT 0]\nc{number} expect +OK")
-        acquirer = stage.service.acquirer
-        assert len(acquirer.sessions) + len(acquirer.lingering) <= 9 + MOST_LINGERING
-    assert acquirer.lingering
+        frontend = stage.service.frontend
+        assert len(frontend.sessions) + len(frontend.lingering) <= 9 + MOST_LINGERING
+    assert frontend.lingering
 
 
 def test_who_lingers_goes_first_when_a_descriptor_is_needed() -> None:
     stage = Stage(hosts=1)
     answered(stage)
     stage.play("wait 10.2\nb send [CLIENT]\nb expect +OK")
-    assert stage.service.acquirer.lingering and stage.service.acquirer._free_descriptor()
-    assert not stage.service.acquirer.lingering
+    assert stage.service.frontend.lingering and stage.service.frontend._free_descriptor()
+    assert not stage.service.frontend.lingering
     stage.play("b send [CLIENT]\nb expect +OK")
 
 
@@ -169,7 +169,7 @@
     end.sendall(stage.bytes_of(ask(1))[:30])
     stage.service.leave()
     stage.play("wait 0.65")
-    assert stage.service.acquirer.sessions  # the rest may come
+    assert stage.service.frontend.sessions  # the rest may come
     stage.play("wait 0.1")
     end.sendall(stage.bytes_of(ask(1))[30:])
     assert to_the_end(stage, end) == b"+OK\r\n" and not stage.service.stats.requests
@@ -198,7 +198,7 @@
         stage._end("a").sendall(stage.bytes_of(ask(number, 0)) * 10)
         stage.settle(20)
     leave(stage, "a", how)
-    assert not stage.service.acquirer.sessions
+    assert not stage.service.frontend.sessions
 
 
 def leave(stage: Stage, name: str, how: str) -> None:
@@ -261,7 +261,7 @@
         stage.play(f"w{number} send {ask(number, 3000)}")  # for readiness
     for number in range(0, 10, 2):
         leave(stage, f"w{number}", ("close", "half", "reset")[number % 3])
-    stage.service.acquirer.ready()
+    stage.service.frontend.ready()
     stage.settle()
     assert stage.service.stats.requests == 5
     for number in range(10, 30):
@@ -275,7 +275,7 @@
     legs = stage.service.stats.legs
     stage.play("wait 3.5")
     assert stage.service.stats.legs == legs and stage.service.stats.dispatches == 0
-    assert not stage.service.limiter.open and not stage.service.acquirer.sessions and len(fillers) == 4
+    assert not stage.service.limiter.open and not stage.service.frontend.sessions and len(fillers) == 4
 
 
 def test_a_flood_whose_client_has_gone_by_the_time_it_is_read_costs_no_attempt() -> None:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hazelhollow.net import resp
-from hazelhollow.net.acquirer import MOST_LINGERING, MOST_OUT, MOST_PIPELINED
+from hazelhollow.net.frontend import MOST_LINGERING, MOST_OUT, MOST_PIPELINED
 from tests.scenario import Stage
 from tests.test_scenarios import VALUE, ask
 
@@ -37,9 +37,9 @@
 @pytest.mark.parametrize("how", ["close", "reset", "half a command", "junk"])
 def test_hundreds_of_short_connections_keep_nobody_from_an_answer_and_leave_nothing(how: str) -> None:
     stage = Stage(hosts=1, sockets=96)
-    most = stage.service.acquirer._most + MOST_LINGERING
+    most = stage.service.frontend._most + MOST_LINGERING
     for number in range(400):
-        sock = socket.create_connection(stage.service.acquirer.address)
+        sock = socket.create_connection(stage.service.frontend.address)
         if how == "half a command":
             sock.sendall(stage.bytes_of(ask(number))[:50])
         if how == "junk":
@@ -48,14 +48,14 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         sock.close()
         stage.settle(2)
-        acquirer = stage.service.acquirer
-        assert len(acquirer.sessions) + len(acquirer.lingering) <= most + 16  # as many are let in at a time
+        frontend = stage.service.frontend
+        assert len(frontend.sessions) + len(frontend.lingering) <= most + 16  # as many are let in at a time
         if number % 100 == 50:
             stage.play(f"b{number} send {ask(number)}\ns1 expect {ask(number)}\ns1 send {VALUE}\nb{number} expect $2\\r\\nhi\nwait 0.05")
     for number in range(50, 400, 100):
         stage.play(f"b{number} close")
     stage.play("wait 1.2")
-    assert stage.service.acquirer.empty() and not stage.service.limiter.open
+    assert stage.service.frontend.empty() and not stage.service.limiter.open
     assert stage.service.stats.requests == 4 == stage.service.stats.dispatches
 
 
@@ -68,6 +68,6 @@
         except BlockingIOError:
             break
         stage.settle(2)
-    (session,) = stage.service.acquirer.sessions
+    (session,) = stage.service.frontend.sessions
     assert session.held() <= MOST_OUT + 2 * 65536 + MOST_PIPELINED * 4096
     stage.play(f"b send {ask(1)}\ns1 expect {ask(1)}\ns1 send {VALUE}\nb expect $2\\r\\nhi")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hazelhollow.net.acquirer import LINGER
+from hazelhollow.net.frontend import LINGER
 from hazelhollow.net.service import STAY
 from tests.scenario import BUY, LOOK, Stage
 from tests.test_endings import to_the_end, unanswering
@@ -22,13 +22,13 @@
     stage = Stage(hosts=1)
     stage.service.leave()
     stage.play(f"wait {STAY - 0.05}")
-    ends = [socket.create_connection(stage.service.acquirer.address) for _ in range(20)]
+    ends = [socket.create_connection(stage.service.frontend.address) for _ in range(20)]
     for end in ends:
         end.setblocking(False)
     ends[7].sendall(stage.bytes_of(ask(1)))
     stage.now += 0.05
     stage.settle()
-    assert stage.service.acquirer._sock.fileno() < 0
+    assert stage.service.frontend._sock.fileno() < 0
     stage.play(f"s1 expect {ask(1, 950)}\ns1 send {VALUE}")
     assert to_the_end(stage, ends[7]) == b"$2\r\nhi\r\n"
     stage.play("wait 0.3")
@@ -55,10 +55,10 @@
     stage = Stage(hosts=1)
     end = socket.socket()
     end.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    end.connect(stage.service.acquirer.address)
+    end.connect(stage.service.frontend.address)
     value = VALUE.replace(r"$2\r\nhi", "$65536\\r\\n" + "v" * 65536)
     stage.settle()
-    (session,) = stage.service.acquirer.sessions
+    (session,) = stage.service.frontend.sessions
     for number in range(1, 200):  # more than the system holds for it
         if session._driver.out:
             break
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -15,7 +15,7 @@
 from hazelhollow import interface as api
 from hazelhollow.config import Config, ConfigError
 from hazelhollow.net import resp
-from hazelhollow.net.acquirer import (
+from hazelhollow.net.frontend import (
     BATCH,
     MOST_BAD,
     MOST_OUT,
@@ -313,7 +313,7 @@
     gc.disable()
     try:
         stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
-        (session,), (one,) = stage.service.acquirer.sessions, stage.service.limiter.open.values()
+        (session,), (one,) = stage.service.frontend.sessions, stage.service.limiter.open.values()
         (line,) = stage.service.issuers._hosts["s1"].lines
         ended: list[Callable[[], object]] = [weakref.ref(session), weakref.ref(one), weakref.ref(line)]
         stage.play(f"s1 send {VALUE}\na expect $2\\r\\nhi\na send {ask(2, 0)}\na expect -BUSY\na close\ns1 close\nwait 17")
@@ -432,7 +432,7 @@
         s1.1 send {VALUE}
         a expect $2\\r\\nhi
         a expect closed""")
-    assert not stage.service.acquirer.sessions and not stage.scheduler._stopped  # the clients have not ended theirs
+    assert not stage.service.frontend.sessions and not stage.scheduler._stopped  # the clients have not ended theirs
     stage.play("a close\nb close\nc close\nwait 0.1")
     assert stage.scheduler._stopped
 
@@ -455,7 +455,7 @@
     assert stage.service.stats.no_descriptor >= 2 and len(stage.service.issuers._lines) == 6
     for number in range(20):
         stage.play(f"d{number} send [CLIENT]\nd{number} expect +OK")
-    assert len(stage.service.acquirer.sessions) <= 9
+    assert len(stage.service.frontend.sessions) <= 9
 
 
 FIELDS = "c=look,t=basic,d=900,units=1,spread=2,first=0"
@@ -485,7 +485,7 @@
     stage.play("a send " + "[Q.ASK x]".join([""] * 2))
     stage._end("a").sendall(resp.command([b"Q.ASK", b"x"]) * 100)
     stage.settle()
-    assert stage.service.stats.bad == MOST_BAD and not stage.service.acquirer.sessions
+    assert stage.service.stats.bad == MOST_BAD and not stage.service.frontend.sessions
 
 
 def test_who_is_turned_away_and_asks_again_at_once_waits_its_turn() -> None:
@@ -521,7 +521,7 @@
     stage = Stage(hosts=1, sockets=80)  # room for 28 clients, of which 20 that have asked are kept
     for number in range(25):
         stage.play(f"c{number} send [SELECT 0]\nc{number} expect +OK\nc0 send [SELECT 0]\nc0 expect +OK\nwait 0.1")
-    assert len(stage.service.acquirer.sessions) == 20
+    assert len(stage.service.frontend.sessions) == 20
     stage.play("c1 expect closed\nc5 expect closed\nc6 expect nothing\nc24 expect nothing\nc0 send [PING]\nc0 expect +PONG")
 
 
@@ -532,7 +532,7 @@
         stage._end(f"silent{number}")
         stage.settle(5)
     stage.play("a expect nothing\na send [SELECT 0]\na expect +OK")
-    assert len(stage.service.acquirer.sessions) == 9
+    assert len(stage.service.frontend.sessions) == 9
 
 
 def no_descriptor(*_: object, **__: object) -> socket.socket:
@@ -560,7 +560,7 @@
 def test_a_client_that_takes_nothing_is_given_up_and_holds_no_more_than_its_ring(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("hazelhollow.net.acquirer.TURNED_AWAY_AT_ONCE", 1e6)
+    monkeypatch.setattr("hazelhollow.net.frontend.TURNED_AWAY_AT_ONCE", 1e6)
     stage = Stage(hosts=1)
     stage._end("a").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     stage.play("wait 0.6")
@@ -570,11 +570,11 @@
         except BlockingIOError:
             break
         stage.settle(5)
-    (session,) = stage.service.acquirer.sessions
+    (session,) = stage.service.frontend.sessions
     held = len(session._driver.out) + sum(len(slot.answer or b"") for slot in session._slots)
     assert 0 < held <= MOST_OUT + MOST_PIPELINED * 4096
     stage.play("wait 11")
-    assert not stage.service.acquirer.sessions
+    assert not stage.service.frontend.sessions
 
 
 def test_the_commands_of_a_greedy_client_wait_in_its_own_connection(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -592,7 +592,7 @@
     monkeypatch.setattr(stage.service.limiter._decisions, "handle", lambda event, now: [])
     for number in range(9):
         stage.play(f"c{number} send {DO.format(number).replace('BODY', 'B' * (8000 * number + 1))}")
-    assert len(stage.service.acquirer.sessions) == 9
+    assert len(stage.service.frontend.sessions) == 9
     stage.play("wait 0.6\nc8 expect closed\nc0 expect nothing\nc5 expect nothing")
     assert stage.service.stats.relieved == stage.service.stats.clients_gone == 1
 
@@ -635,7 +635,7 @@
         if not data:
             break
         got += data
-    assert got.count(b"\r\n") == MOST_BAD and not stage.service.acquirer.sessions
+    assert got.count(b"\r\n") == MOST_BAD and not stage.service.frontend.sessions
 
 
 def test_requests_wait_for_discoverys_first_list_before_they_are_sent() -> None:
