--- a/hazelhollow/bench/world.py
+++ b/hazelhollow/bench/world.py
@@ -1,6 +1,6 @@
 """A world in virtual time: limiters (the real decision module, books, link), one stand-in store, clients, and what fails.
 
-Nothing here decides what the product decides. The network delays bytes and keeps the order within a connection; issuer
+Nothing here decides what the product decides. The network delays bytes and keeps the order within a connection; backend
 hosts answer everything after a short while, so that only limits refuse.
 """
 
@@ -28,7 +28,7 @@
 TO_STORE = (0.0007, 0.0013)  # seconds one way
 TO_PEER = (0.0019, 0.030)
 PEER_LOSS = 0.05
-ANSWER = 0.02  # seconds in which an issuer host answers
+ANSWER = 0.02  # seconds in which a backend host answers
 CALL_COST = 0.00004  # seconds that a store takes for a call
 HOSTS = 12
 WARM_UP = 8.0  # seconds in which a fleet and its store get to know their customers, who are calm meanwhile
@@ -107,7 +107,7 @@
 
 @dataclass
 class Sent:
-    """One request's first attempt, as an issuer host has it."""
+    """One request's first attempt, as a backend host has it."""
 
     at: float
     units: float
--- a/hazelhollow/net/issuer.py
+++ b/hazelhollow/net/backend.py
@@ -1,4 +1,4 @@
-"""Legs to issuer hosts: the one owner of their connections, which opens, reuses, closes and gives them up."""
+"""Legs to backend hosts: the one owner of their connections, which opens, reuses, closes and gives them up."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 def read_answer(answer: resp.Value) -> Result | None:
-    """An issuer host's answer; nothing where it is none that a host gives."""
+    """A backend host's answer; nothing where it is none that a host gives."""
     if isinstance(answer, list) and answer and isinstance(answer[0], bytes):
         figures, report = (x if isinstance(x, bytes) else b"" for x in (answer + [None, None])[1:3])
         return Result("ok", answer[0], report, figures)
@@ -42,7 +42,7 @@
         if word == b"BUSY":
             return Result("full", report=report)
         if word != b"ERR":
-            log.warning("an issuer host answered %r", bytes(answer[:80]))
+            log.warning("a backend host answered %r", bytes(answer[:80]))
         return Result("error", report=report)
     return None
 
@@ -69,7 +69,7 @@
 
 
 class Line:
-    """One connection to an issuer host. It carries one leg at a time."""
+    """One connection to a backend host. It carries one leg at a time."""
 
     __slots__ = ("host", "leg", "stream", "idle_since", "parser", "partial_since", "settled_at", "_mark", "__weakref__")
 
@@ -106,7 +106,7 @@
 
 
 class Host:
-    """One issuer host of the routing table, and the connections to it."""
+    """One backend host of the routing table, and the connections to it."""
 
     __slots__ = ("name", "address", "lines", "idle", "listed")
 
@@ -117,7 +117,7 @@
         self.listed = True
 
 
-class Issuers:
+class Backend:
     def __init__(
         self,
         scheduler: sch.Scheduler,
--- a/hazelhollow/net/ending.py
+++ b/hazelhollow/net/ending.py
@@ -20,7 +20,7 @@
     TIMED_OUT = auto()  # no answer while we were willing to wait
     CANCELLED = auto()  # we no longer want the answer
     STALLED = auto()  # the other side does not take what we send
-    UNLISTED = auto()  # the routing table says that the issuer host drains or is gone
+    UNLISTED = auto()  # the routing table says that the backend host drains or is gone
     IDLE = auto()  # not needed, for too long
     MOVED = auto()  # the configuration names another address now
     SHUTDOWN = auto()  # this limiter is ending
@@ -33,7 +33,7 @@
 def outcome(ending: Ending, written: bool) -> Status:
     """The module's word for a leg whose connection ended so.
 
-    It turns on whether the last byte of the leg's request had been written. Up to then no issuer host can have
+    It turns on whether the last byte of the leg's request had been written. Up to then no backend host can have
     begun it, even where the wait ran out, and unsent bytes are dropped; from then on it may have run, whatever
     ended the connection.
     """
--- a/hazelhollow/net/frontend.py
+++ b/hazelhollow/net/frontend.py
@@ -52,7 +52,7 @@
 
 
 class Terms:
-    """What the settings let a request say. Nothing else may reach the module or an issuer host: there a single
+    """What the settings let a request say. Nothing else may reach the module or a backend host: there a single
     `nan`, or a wait of years, would spoil what is learned from all the others."""
 
     def __init__(self, settings: api.Settings, before: Terms | None = None) -> None:
@@ -497,7 +497,7 @@
             next(iter(self.lingering)).forgo()
 
     def _free_descriptor(self) -> bool:
-        """Of a connection that nobody needs: one ended here, an idle one to an issuer host, an idle client's."""
+        """Of a connection that nobody needs: one ended here, an idle one to a backend host, an idle client's."""
         if not self.lingering and self._spare():
             return True
         if self.lingering or self._close_idlest():
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -12,8 +12,8 @@
 from hazelhollow import interface as api
 from hazelhollow import wire
 from hazelhollow.net import scheduler as sch
+from hazelhollow.net.backend import Backend, Leg, Result
 from hazelhollow.net.ending import Ending
-from hazelhollow.net.issuer import Issuers, Leg, Result
 from hazelhollow.net.peers import Peers
 from hazelhollow.net.sparse import Sparse
 from hazelhollow.net.stats import Stats
@@ -43,7 +43,7 @@
     request: api.Request
 
     def command(self, wait_ms: int) -> bytes:
-        """What goes to an issuer host that is to answer within that time."""
+        """What goes to a backend host that is to answer within that time."""
 
 
 class Open:
@@ -61,10 +61,10 @@
 
 class Limiter:
     def __init__(
-        self, decisions: Decisions, scheduler: sch.Scheduler, issuers: Issuers, stats: Stats, most_open: int
+        self, decisions: Decisions, scheduler: sch.Scheduler, backend: Backend, stats: Stats, most_open: int
     ) -> None:
         self._decisions, self._scheduler = decisions, scheduler
-        self._issuers, self._stats, self._most_open = issuers, stats, most_open
+        self._backend, self._stats, self._most_open = backend, stats, most_open
         self.peers: Peers | None = None
         self.closed: Callable[[api.Closed], None] | None = None  # who wants the module's own counts
         self.sent: Counter[str] | None = None  # attempts by host, where somebody wants to know
@@ -117,7 +117,7 @@
             one.answered = True
             self._handle(api.ClientGone(one.id), one)
             for leg in one.legs:
-                self._issuers.hold_back(leg, Ending.CANCELLED)
+                self._backend.hold_back(leg, Ending.CANCELLED)
 
     # Everything else that happens
 
@@ -142,7 +142,7 @@
     def _expire(self, one: Open) -> None:
         """The client stops waiting now: so do the legs, and the answer is due."""
         for leg in one.legs:
-            self._issuers.give_up(leg, Ending.TIMED_OUT)
+            self._backend.give_up(leg, Ending.TIMED_OUT)
         if not one.answered and not self._busy:
             self._rescue(one, "no decision by its deadline")
         self._let_go(one)
@@ -238,7 +238,7 @@
         elif isinstance(action, api.Cancel):
             found = self.open.get(action.id)
             if found and action.attempt < len(found.legs):
-                self._issuers.give_up(found.legs[action.attempt], Ending.CANCELLED)
+                self._backend.give_up(found.legs[action.attempt], Ending.CANCELLED)
         elif isinstance(action, api.Log):
             log.info("%s", action.text)
         elif isinstance(action, api.Closed) and self.closed:
@@ -261,12 +261,12 @@
             left = action.timeout
         command = one.ask.command(max(1, round(left * 1000)))
         one.out += 1
-        leg = self._issuers.start(action.server, command, lambda result: self._leg_done(one, number, result))
+        leg = self._backend.start(action.server, command, lambda result: self._leg_done(one, number, result))
         one.legs.append(leg)
         if action.begin_by < now + left:
-            leg.begin_timer = self._scheduler.at(action.begin_by, self._issuers.hold_back, leg, Ending.NEVER_UP)
+            leg.begin_timer = self._scheduler.at(action.begin_by, self._backend.hold_back, leg, Ending.NEVER_UP)
         if now + left < one.deadline:
-            leg.timer = self._scheduler.at(now + left, self._issuers.give_up, leg, Ending.TIMED_OUT)
+            leg.timer = self._scheduler.at(now + left, self._backend.give_up, leg, Ending.TIMED_OUT)
 
     def _answer(self, request: str) -> Open | None:
         """The record of a request that gets its final answer now."""
--- a/hazelhollow/net/routing.py
+++ b/hazelhollow/net/routing.py
@@ -35,7 +35,7 @@
 
 
 class Table:
-    """The list as it stands: version, and each issuer host's entry and address."""
+    """The list as it stands: version, and each backend host's entry and address."""
 
     def __init__(self) -> None:
         self.version = 0
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -15,9 +15,9 @@
 from hazelhollow.config import Config, ConfigError
 from hazelhollow.decide import Gateway
 from hazelhollow.net import scheduler as sch
+from hazelhollow.net.backend import Backend
 from hazelhollow.net.bans import BanFile, path_for
 from hazelhollow.net.frontend import KEPT_SHARE, LINGER, MEMORY_SHARE, Frontend, Terms
-from hazelhollow.net.issuer import Issuers
 from hazelhollow.net.limiter import Decisions, Limiter
 from hazelhollow.net.operator import Address
 from hazelhollow.net.peers import Peers
@@ -29,7 +29,7 @@
 STAY = 0.7  # seconds past SIGTERM: what comes later might not be answered before SIGKILL, and is taken by nobody
 STEP = 0.02
 BANS_EVERY = 0.25  # seconds between looks at the file of bans, which a process beside this one may have changed
-RESERVE = 32  # descriptors for all that is neither a client's nor an issuer host's
+RESERVE = 32  # descriptors for all that is neither a client's nor a backend host's
 
 log = logging.getLogger(__name__)
 
@@ -51,7 +51,7 @@
     def __init__(self, config: Config, scheduler: sch.Scheduler, attached: Attachment | None = None) -> None:
         self.scheduler, self.stats = scheduler, Stats()
         room = max(16, config.sockets - RESERVE)
-        self.issuers = Issuers(
+        self.backend = Backend(
             scheduler, self.stats, config.connect_timeout, config.conn_idle, most_lines=room * 2 // 5
         )
         self.settings, self.document = config.settings, config.document
@@ -60,12 +60,12 @@
         self.attached = attached
         if attached:
             decisions = attached.decisions(decisions, config.settings, config.seed, scheduler.clock())
-        self.limiter = Limiter(decisions, scheduler, self.issuers, self.stats, config.max_open)
+        self.limiter = Limiter(decisions, scheduler, self.backend, self.stats, config.max_open)
         self.limiter.most_units = config.settings.max_units if config.settings.post_paid else 0.0
         self.table = Table()
         if config.known is not None:
             self.limiter.told(self.table.apply(config.known, cached=True))
-            self.issuers.update(self.table.open_addresses())
+            self.backend.update(self.table.open_addresses())
         self.watch = Watch(scheduler, self.stats, config.discovery, self.table, self._changed)
         if config.peer_listen:
             self.limiter.peers = Peers(
@@ -81,7 +81,7 @@
             room * 3 // 5,
             max(4, int(config.sockets * KEPT_SHARE)),
             held,
-            self.issuers.spare,
+            self.backend.spare,
         )
         self.leaving = False
         self.began, self.first_list = scheduler.clock(), False
@@ -153,7 +153,7 @@
 
     def _update_hosts(self) -> None:
         """A leg that has not left for a host that drains, is gone or was put out by hand never will."""
-        self.issuers.update({k: v for k, v in self.table.open_addresses().items() if k not in self.banned})
+        self.backend.update({k: v for k, v in self.table.open_addresses().items() if k not in self.banned})
 
     def reload(self, reread: Callable[[], Config]) -> None:
         """Takes the addresses of the new file; clients, legs and budgets stay. A bad file changes nothing."""
@@ -170,7 +170,7 @@
             self.attached.reload(taken=True)
         self.stats.reload_success += 1
         self._retune(config.settings, config.document)
-        self.issuers.retune(config.connect_timeout, config.conn_idle)
+        self.backend.retune(config.connect_timeout, config.conn_idle)
         log.info("reloaded: discovery at %s:%d", *config.discovery)
         self.watch.move(config.discovery)
 
@@ -225,7 +225,7 @@
         if self.attached:
             self.attached.end()
         log.info("left after %.2f s", self.scheduler.clock() - began)
-        self.issuers.close()
+        self.backend.close()
         self.scheduler.stop()
 
 
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -17,7 +17,7 @@
         self.requests = self.served = self.declined = self.failed = self.clients_gone = 0
         self.declines: Counter[str] = Counter()  # by the module's reason
         self.rescued = 0  # requests answered here because the module had not
-        self.legs = self.reused = self.opened = self.no_descriptor = 0  # issuer hosts
+        self.legs = self.reused = self.opened = self.no_descriptor = 0  # backend hosts
         self.ok_seconds = 0.0  # that legs which served took, together
         self.settled = self.figures_bad = 0  # answers with true units, and with figures that cannot be true
         self.outcomes: Counter[str] = Counter()
@@ -26,7 +26,7 @@
         self.told = self.heard = self.junk = self.untold = 0  # peers
         self.errors = 0
         self.replies: dict[str, Counter[str]] = {}  # by class: success, overload, error
-        self.dispatches = 0  # attempts written whole to issuer hosts
+        self.dispatches = 0  # attempts written whole to backend hosts
         self.reload_success = self.reload_failure = 0
         self.operator_calls: Counter[str] = Counter()
         self.operator_endings: Counter[Ending] = Counter()
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -94,7 +94,7 @@
     def rest(self) -> None:
         """Until woken, with nothing expected from the other side and so without a place in poll's list.
 
-        Each blocking poll costs some 0.35 µs of CPU a descriptor in its list, and most connections to issuer
+        Each blocking poll costs some 0.35 µs of CPU a descriptor in its list, and most connections to backend
         hosts are idle. Their end shows by `alive` before they are used again.
         """
         self._task = self.scheduler.current()
--- a/hazelhollow/standins/commands.py
+++ b/hazelhollow/standins/commands.py
@@ -71,7 +71,7 @@
 @click.option("--cold-from", default=0.2, show_default=True, type=click.FloatRange(0.01, 1.0), help="Share of its speed at the start.")
 @click.option("--journal", metavar="FILE", help="Write a JSON line there for each request that it begins.")
 def node_(listen: str, work: float, cores: int, cold_for: float, cold_from: float, journal: str | None) -> None:
-    """An issuer host that serves every request after some work, until SIGTERM or Ctrl-C. Prints `ready HOST:PORT`.
+    """A backend host that serves every request after some work, until SIGTERM or Ctrl-C. Prints `ready HOST:PORT`.
 
     SIGUSR1 makes it drain (it turns new requests away and finishes what it has), SIGUSR2 ends that.
     """
--- a/hazelhollow/standins/node.py
+++ b/hazelhollow/standins/node.py
@@ -1,4 +1,4 @@
-"""A stand-in for an issuer host: it answers each request after some work, so many at a time, and counts what it served.
+"""A stand-in for a backend host: it answers each request after some work, so many at a time, and counts what it served.
 
 It can start cold, drain, say how loaded it is, and write down each request that it began.
 """
--- a/hazelhollow/wire.py
+++ b/hazelhollow/wire.py
@@ -101,7 +101,7 @@
 
 
 def read_report(text: bytes) -> dict[str, float]:
-    """A load report as a real issuer host words it: `inflight=7,queue=2`. What cannot be read is left out, and so are
+    """A load report as a real backend host words it: `inflight=7,queue=2`. What cannot be read is left out, and so are
     figures on use, which an error line may hold before it."""
     report = {}
     for item in text.decode("ascii", "replace").split(",") if len(text) <= _MOST_REPORT else ():
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -3,7 +3,7 @@
 A scenario is a text of lines `WHO VERB WORDS`; a blank line or one that begins with `#` says nothing.
 
     a send [PING]           client `a` (any name; it connects when first named) sends a command
-    s1 expect [Q.ASK ...]   issuer host s1 gets just this on its newest connection; `s1.2`: on its second
+    s1 expect [Q.ASK ...]   backend host s1 gets just this on its newest connection; `s1.2`: on its second
     s1 send -BUSY           a line; `\\r\\n` in the words and `[..]` commands are taken as they are
     a expect nothing        so far; `a expect closed`: the connection is over
     s1 close                its end of the connection; `s1 stop` does not answer new ones from then on
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -230,7 +230,7 @@
     stage.play(f"a send {ask(1)}")
     assert stage.service.stats.legs == 1 and stage.service.stats.opened == 0
     leave(stage, "a", how)
-    assert not stage.service.issuers._lines and not stage.service.limiter.open
+    assert not stage.service.backend._lines and not stage.service.limiter.open
     assert stage.service.stats.dispatches == 0 and len(fillers) == 2
 
 
@@ -247,10 +247,10 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(stream, "connect", narrow)
         stage.play(f"b send {DO.format(2).replace('BODY', body)}")
-    (line,) = stage.service.issuers._hosts["s1"].lines
+    (line,) = stage.service.backend._hosts["s1"].lines
     assert line.touched() and not line.whole()
     leave(stage, "b", "close")
-    assert not stage.service.issuers._lines and not stage.service.limiter.open
+    assert not stage.service.backend._lines and not stage.service.limiter.open
 
 
 def test_of_many_that_leave_at_mixed_stages_nothing_is_sent_on_later() -> None:
@@ -338,7 +338,7 @@
     (one,) = stage.service.limiter.open.values()
     assert len(one.legs) == 2 and one.out == 1
     stage.play(f"wait {left + 0.05}")
-    assert not one.out and not stage.service.issuers._lines and len(fillers) == 2
+    assert not one.out and not stage.service.backend._lines and len(fillers) == 2
     stage.play("a expect -BUSY 250")  # all hosts know its key, so it may be tried anew
 
 
@@ -372,27 +372,27 @@
 def test_a_cancelled_attempt_and_its_answer_in_one_turn_end_once_and_the_line_serves_nobody_else(order: str) -> None:
     stage = Stage(hosts=1)
     stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
-    issuers = stage.service.issuers
+    backend = stage.service.backend
     (one,) = stage.service.limiter.open.values()
     (leg,) = one.legs
     stage._end("s1").sendall(stage.bytes_of(VALUE))
     if order == "answer first":
         stage.settle()
-    issuers.give_up(leg, Ending.CANCELLED)
-    issuers.give_up(leg, Ending.TIMED_OUT)
+    backend.give_up(leg, Ending.CANCELLED)
+    backend.give_up(leg, Ending.TIMED_OUT)
     stage.settle()
     assert sum(stage.service.stats.outcomes.values()) == 1
     if order == "answer first":
-        assert stage.service.stats.outcomes["ok"] == 1 and not one.out and len(issuers._lines) == 1
+        assert stage.service.stats.outcomes["ok"] == 1 and not one.out and len(backend._lines) == 1
     else:  # the module tries again, on another connection
         stage.play(f"s1.1 expect closed\ns1.2 expect {ask(1)}\ns1.2 send {VALUE}\na expect $2\\r\\nhi")
 
 
 def test_a_leg_given_up_in_the_turn_in_which_its_connection_comes_up_is_not_sent() -> None:
     stage = Stage(hosts=1)
-    leg = stage.service.issuers.start("s1", b"x" * 10, lambda result: None)
+    leg = stage.service.backend.start("s1", b"x" * 10, lambda result: None)
     stage.scheduler._run()  # its connection is begun, and up by now; that it is has not been read
-    stage.service.issuers.give_up(leg, Ending.CANCELLED)
+    stage.service.backend.give_up(leg, Ending.CANCELLED)
     stage.settle()
     end = stage._end("s1")
     assert end.recv(99) == b"" and stage.service.stats.dispatches == 0
@@ -443,7 +443,7 @@
 
 
 def s1_is_left(stage: Stage) -> bool:
-    return "s1" not in stage.service.issuers._hosts
+    return "s1" not in stage.service.backend._hosts
 
 
 def test_an_answer_without_a_length_ends_with_its_connection() -> None:
@@ -575,7 +575,7 @@
     watched(stage)
     stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 6, "s1:in_service")))
     stage.play(f"a send {ask(1)}")
-    assert len(stage.service.issuers._lines) == 1 and len(fillers) == 2
+    assert len(stage.service.backend._lines) == 1 and len(fillers) == 2
     stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 7, "s1:in_service", "s2:in_service")))
     stage.service.set_bans({"s1"})
     stage.play(f"s2 expect {ask(1)}")
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -31,7 +31,7 @@
     assert other.recv(99) == b"-BUSY 250\r\n"  # nor would the hosts take another: it is told so at once
     flood.close()
     stage.play("wait 1.1")
-    assert not stage.service.limiter.open and not stage.service.issuers._lines
+    assert not stage.service.limiter.open and not stage.service.backend._lines
 
 
 @pytest.mark.parametrize("how", ["close", "reset", "half a command", "junk"])
--- a/tests/test_hosts_end.py
+++ b/tests/test_hosts_end.py
@@ -9,7 +9,7 @@
 
 from hazelhollow import interface as api
 from hazelhollow.net import stream
-from hazelhollow.net.issuer import HALFWAY
+from hazelhollow.net.backend import HALFWAY
 from tests.scenario import BUY, LOOK, SETTINGS, Stage
 from tests.test_endings import RESET, leave, unanswering
 from tests.test_scenarios import DO, GET, VALUE, ask
@@ -57,7 +57,7 @@
     kind, said, again = MAY_HAVE_RUN[case]
     stage = stage_of(kind)
     stage.play(f"b send {ask(9)}\ns1 expect {ask(9)}\ns1 send {VALUE}\nb expect $2\\r\\nhi\nwait 0.35")
-    (line,) = stage.service.issuers._hosts["s1"].idle
+    (line,) = stage.service.backend._hosts["s1"].idle
     end, whole = stage.ends["s1"].pop(), stream.Stream.alive
 
     def alive(self: stream.Stream) -> bool:
@@ -86,7 +86,7 @@
         end.sendall(b"x")
         stage.settle()
     stage.play("wait 0.2\na expect -BUSY 250")
-    assert HALFWAY > 0.1 and not stage.service.issuers._lines and not stage.service.limiter.open
+    assert HALFWAY > 0.1 and not stage.service.backend._lines and not stage.service.limiter.open
 
 
 def test_a_connection_that_comes_up_after_it_was_given_up_carries_nothing_and_is_closed() -> None:
@@ -95,7 +95,7 @@
     stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 2, "s1:in_service")))
     stage.play(f"a send {DO.format(1)}")
     stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 3, "s1:in_service", "s2:in_service")))
-    assert len(stage.service.issuers._lines) == 1
+    assert len(stage.service.backend._lines) == 1
     stage.play("wait 0.3")
     assert stage.service.stats.outcomes["connect_failed"] == 1  # it never ran, so that even this class goes on
     stage.play(f"s2 expect {DO.format(1).replace('d=1000', 'd=750')}\ns2 send {VALUE}\na expect $2\\r\\nhi")
@@ -131,7 +131,7 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(stream, "connect", narrow)
         stage.play(f"a send {DO.format(1).replace('BODY', body)}")
-    (line,) = stage.service.issuers._hosts["s1"].lines
+    (line,) = stage.service.backend._hosts["s1"].lines
     assert line.touched() and not line.whole()
     stage.service._changed(stage.service.table.apply(stage.table("whole", 3, "s1:terminating", "s2:in_service")))
     stage.play(f"s1 expect {DO.format(1).replace('BODY', body)}\ns1 send {VALUE}\na expect $2\\r\\nhi")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -314,7 +314,7 @@
     try:
         stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
         (session,), (one,) = stage.service.frontend.sessions, stage.service.limiter.open.values()
-        (line,) = stage.service.issuers._hosts["s1"].lines
+        (line,) = stage.service.backend._hosts["s1"].lines
         ended: list[Callable[[], object]] = [weakref.ref(session), weakref.ref(one), weakref.ref(line)]
         stage.play(f"s1 send {VALUE}\na expect $2\\r\\nhi\na send {ask(2, 0)}\na expect -BUSY\na close\ns1 close\nwait 17")
         del session, one, line
@@ -334,11 +334,11 @@
     stage = Stage(hosts=2)
     stage.play("disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n")
     stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 2, "s1:in_service")))
-    stage.service.issuers.update({"s1": ("127.0.0.1", 9)})
+    stage.service.backend.update({"s1": ("127.0.0.1", 9)})
     done: list[str] = []
-    leg = stage.service.issuers.start("s1", b"x" * 10, lambda result: done.append(result.status))
+    leg = stage.service.backend.start("s1", b"x" * 10, lambda result: done.append(result.status))
     assert leg.line and not leg.line.touched()
-    stage.service.issuers.update({})
+    stage.service.backend.update({})
     assert done == ["connect_failed"]
 
 
@@ -448,11 +448,11 @@
 
 
 def test_a_limiter_out_of_descriptors_gives_up_idle_connections_first() -> None:
-    stage = Stage(hosts=2, sockets=0)  # leaves room for 6 to issuer hosts and 9 from clients
+    stage = Stage(hosts=2, sockets=0)  # leaves room for 6 to backend hosts and 9 from clients
     for number in range(8):
         stage.play(f"c{number} send {ask(number)}")
     stage.settle()
-    assert stage.service.stats.no_descriptor >= 2 and len(stage.service.issuers._lines) == 6
+    assert stage.service.stats.no_descriptor >= 2 and len(stage.service.backend._lines) == 6
     for number in range(20):
         stage.play(f"d{number} send [CLIENT]\nd{number} expect +OK")
     assert len(stage.service.frontend.sessions) <= 9
--- a/tests/test_two_sites.py
+++ b/tests/test_two_sites.py
@@ -10,7 +10,7 @@
 from hazelhollow import interface as api
 from hazelhollow import wire
 from hazelhollow.decide import Gateway
-from hazelhollow.net import issuer, resp
+from hazelhollow.net import backend, resp
 from hazelhollow.state import Server, Window
 from tests.scenario import PLAN, SETTINGS, Stage
 from tests.test_gateway import ask, entry, only, servers
@@ -75,14 +75,14 @@
      (b"BUSY", "full", {}), (b"ERR failed", "error", {})],
 )  # fmt: skip
 def test_an_error_line_may_hold_figures_before_its_report(line: bytes, status: str, report: dict[str, float]) -> None:
-    result = issuer.read_answer(resp.Fault(line))
+    result = backend.read_answer(resp.Fault(line))
     assert result and result.status == status and not result.figures
     assert wire.read_report(result.report) == report
 
 
 @pytest.mark.parametrize("answer", [[b"v"], [b"v", None], [b"v", None, None], [b"v", [b"x"], 7]])
 def test_an_answer_without_figures_is_an_answer(answer: list[resp.Value]) -> None:
-    assert issuer.read_answer(answer) == issuer.Result("ok", b"v")
+    assert backend.read_answer(answer) == backend.Result("ok", b"v")
 
 
 CHEAP = api.RequestClass("cheap", aim=1.5, deadline=6.0, worth=2.0, effect="safe")
