--- a/hazelhollow/net/backend.py
+++ b/hazelhollow/net/backend.py
@@ -1,4 +1,4 @@
-"""Legs to backend hosts: the one owner of their connections, which opens, reuses, closes and gives them up."""
+"""Attempts to backend hosts: the one owner of their connections, which opens, reuses, closes and gives them up."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 IDLE_SHARE = 0.5  # of the time after which the host may close an idle connection: past it none is reused
 SWEEP = 0.25  # seconds between looks for idle connections and for answers that stop half-way
 HALFWAY = 0.5  # seconds without a byte in the middle of an answer, after which no more is expected
-SETTLE = 0.03  # seconds in which a second copy of an answer may still be on its way: so long no leg begins on that line
+SETTLE = 0.03  # seconds in which a second copy of an answer may still be on its way: so long no attempt begins on that line
 
 log = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True)
 class Result:
-    """How a leg ended, in the module's words."""
+    """How an attempt ended, in the module's words."""
 
     status: Status
     value: bytes = b""
@@ -47,7 +47,7 @@
     return None
 
 
-class Leg:
+class Attempt:
     """One attempt, from the request to start it to its one result."""
 
     __slots__ = ("host", "command", "done", "line", "started", "timer", "begin_timer")
@@ -63,46 +63,46 @@
         done, self.done = self.done, None
         for timer in (self.timer, self.begin_timer):
             if timer:
-                timer.cancel()  # it would hold the leg and its line until then
+                timer.cancel()  # it would hold the attempt and its line until then
         if done:
             done(result)
 
 
 class Line:
-    """One connection to a backend host. It carries one leg at a time."""
+    """One connection to a backend host. It carries one attempt at a time."""
 
-    __slots__ = ("host", "leg", "stream", "idle_since", "parser", "partial_since", "settled_at", "_mark", "__weakref__")
+    __slots__ = ("host", "attempt", "stream", "idle_since", "parser", "partial_since", "settled_at", "_mark", "__weakref__")
 
     def __init__(self, host: Host) -> None:
         self.host = host
-        self.leg: Leg | None = None
+        self.attempt: Attempt | None = None
         self.stream: stream.Stream | None = None
         self.parser = resp.Parser()
         self.idle_since = 0.0
         self.partial_since = 0.0  # when the latest bytes of an answer that is not whole came
         self.settled_at = 0.0  # when a second copy of the last value must have shown
-        self._mark = 0  # bytes written before this leg's
+        self._mark = 0  # bytes written before this attempt's
 
     def opening(self, driver: stream.Stream) -> None:
         """A connection that is not up yet can be given up too."""
         self.stream = driver
 
     def begin(self) -> None:
-        if self.stream and self.leg:
+        if self.stream and self.attempt:
             self._mark = self.stream.written
-            self.stream.write(self.leg.command)
+            self.stream.write(self.attempt.command)
 
     def touched(self) -> bool:
-        """Whether any byte of the leg's request has left."""
+        """Whether any byte of the attempt's request has left."""
         return self.stream is not None and self.stream.written > self._mark
 
     def whole(self) -> bool:
         """Whether all of it has, so that the host may have begun it."""
-        return self.leg is not None and self.touched() and self._left() <= 0
+        return self.attempt is not None and self.touched() and self._left() <= 0
 
     def _left(self) -> int:
-        assert self.stream and self.leg
-        return self._mark + len(self.leg.command) - self.stream.written
+        assert self.stream and self.attempt
+        return self._mark + len(self.attempt.command) - self.stream.written
 
 
 class Host:
@@ -138,9 +138,9 @@
     # The routing table
 
     def update(self, addresses: Mapping[str, tuple[str, int]]) -> None:
-        """The hosts that may get new legs from now on, and where they are.
+        """The hosts that may get new attempts from now on, and where they are.
 
-        A leg whose first byte has not left must not reach a host that drains or is gone, so it ends here as
+        An attempt whose first byte has not left must not reach a host that drains or is gone, so it ends here as
         never run, and the module may choose anew. What is under way goes on.
         """
         for name, host in list(self._hosts.items()):
@@ -148,64 +148,64 @@
                 host.listed = False
                 del self._hosts[name]
                 for line in list(host.lines):
-                    if line.leg is None or not line.touched():
+                    if line.attempt is None or not line.touched():
                         self.end(line, Ending.UNLISTED)
         for name, address in addresses.items():
             if name not in self._hosts:
                 self._hosts[name] = Host(name, address)
 
-    # Legs
+    # Attempts
 
-    def start(self, name: str, command: bytes, done: Callable[[Result], None]) -> Leg:
+    def start(self, name: str, command: bytes, done: Callable[[Result], None]) -> Attempt:
         """`done` is called once, and never before this returns."""
         now, host = self._scheduler.clock(), self._hosts.get(name)
-        leg = Leg(host or Host(name, ("", 0)), command, done, now)
-        self._stats.legs += 1
+        attempt = Attempt(host or Host(name, ("", 0)), command, done, now)
+        self._stats.attempts += 1
         if host is None:
-            self._scheduler.later(lambda: leg.finish(Result(outcome(Ending.UNLISTED, False))))
-            return leg
+            self._scheduler.later(lambda: attempt.finish(Result(outcome(Ending.UNLISTED, False))))
+            return attempt
         while (place := self._settled(host, now)) is not None:
             line = host.idle.pop(place)
             if now - line.idle_since >= self._rest:
                 self.end(line, Ending.IDLE)
             elif not line.stream or not line.stream.alive():
-                self.end(line, Ending.CLOSED)  # a leg written to it would be a reset, which may have run
+                self.end(line, Ending.CLOSED)  # an attempt written to it would be a reset, which may have run
             else:
-                line.leg, leg.line = leg, line
+                line.attempt, attempt.line = attempt, line
                 self._stats.reused += 1
                 line.begin()
                 line.stream.wake()
-                return leg
+                return attempt
         if len(self._lines) >= self._most and not self.spare():
             self._stats.no_descriptor += 1
-            self._scheduler.later(lambda: leg.finish(Result(outcome(Ending.NO_DESCRIPTOR, False))))
-            return leg
+            self._scheduler.later(lambda: attempt.finish(Result(outcome(Ending.NO_DESCRIPTOR, False))))
+            return attempt
         line = Line(host)
-        line.leg, leg.line = leg, line
+        line.attempt, attempt.line = attempt, line
         host.lines.add(line)
         self._lines.add(line)
         self._scheduler.spawn(self._tend, line, name=f"line to {name}")
-        return leg
+        return attempt
 
     def _settled(self, host: Host, now: float) -> int | None:
         """The place of the idle line that was used last, of those on which nothing can still be on its way."""
         return next((n for n in range(len(host.idle) - 1, -1, -1) if host.idle[n].settled_at <= now), None)
 
-    def give_up(self, leg: Leg, ending: Ending) -> None:
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
         """The host learns of it by the connection's end; bytes that were not written never are."""
-        if leg.done and leg.line:
-            self.end(leg.line, ending)
+        if attempt.done and attempt.line:
+            self.end(attempt.line, ending)
 
-    def hold_back(self, leg: Leg, ending: Ending) -> None:
+    def hold_back(self, attempt: Attempt, ending: Ending) -> None:
         """What has not gone out whole never will: no host can have begun it."""
-        if leg.done and leg.line and not leg.line.whole():
-            self.end(leg.line, ending)
+        if attempt.done and attempt.line and not attempt.line.whole():
+            self.end(attempt.line, ending)
 
     # Connections
 
     def end(self, line: Line, ending: Ending) -> None:
-        """The one place in which a connection ends, and a leg with it."""
-        host, leg, whole = line.host, line.leg, line.whole()
+        """The one place in which a connection ends, and an attempt with it."""
+        host, attempt, whole = line.host, line.attempt, line.whole()
         if line in host.lines:
             host.lines.remove(line)
             self._lines.remove(line)
@@ -213,11 +213,11 @@
                 host.idle.remove(line)
         if line.stream:
             line.stream.close(ending)
-        line.leg = None
-        if leg:
+        line.attempt = None
+        if attempt:
             self._stats.dispatches += whole
             self._stats.endings[ending] += 1
-            leg.finish(Result(outcome(ending, whole)))
+            attempt.finish(Result(outcome(ending, whole)))
 
     def close(self) -> None:
         for line in list(self._lines):
@@ -242,7 +242,7 @@
             self.end(line, ending)
 
     def _open(self, line: Line) -> Ending | None:
-        for attempt in (1, 2):
+        for turn in (1, 2):
             result = stream.connect(
                 self._scheduler, line.host.address, MOST_OUT, self._connect_timeout, line.opening
             )
@@ -250,7 +250,7 @@
                 self._stats.opened += 1
                 line.begin()
                 return None
-            if result is not Ending.NO_DESCRIPTOR or attempt == 2 or not self.spare():
+            if result is not Ending.NO_DESCRIPTOR or turn == 2 or not self.spare():
                 return result
             line.stream = None
         return None
@@ -260,7 +260,7 @@
         driver = line.stream
         driver.on_broken = lambda ending: self.end(line, ending)
         while driver.ending is None:
-            if line.leg is None:
+            if line.attempt is None:
                 driver.rest()
                 continue
             if driver.wait() == sch.WOKEN:
@@ -283,17 +283,17 @@
             # Nobody asked, the answer is none, or it came before the request was out: what this connection says next could be taken for another request's answer.
             if result is None or not line.whole():
                 return Ending.MALFORMED
-            leg, line.leg, line.partial_since = line.leg, None, 0.0
-            assert leg
+            attempt, line.attempt, line.partial_since = line.attempt, None, 0.0
+            assert attempt
             self._stats.dispatches += 1
             line.settled_at = self._scheduler.clock() + SETTLE
             if line.parser.idle():
                 self._rest_line(line)
             else:
-                # The answer is whole and this leg's own. What lies behind it is nobody's: it must reach no other
-                # leg, and no more of it is read.
+                # The answer is whole and this attempt's own. What lies behind it is nobody's: it must reach no other
+                # attempt, and no more of it is read.
                 self.end(line, Ending.MALFORMED)
-            leg.finish(result)
+            attempt.finish(result)
         return driver.ending
 
     def _rest_line(self, line: Line) -> None:
@@ -310,5 +310,5 @@
             while host.idle and now - host.idle[0].idle_since >= self._rest:
                 self.end(host.idle[0], Ending.IDLE)
         for line in [x for x in self._lines if x.partial_since and now - x.partial_since >= HALFWAY]:
-            # The host had done the work and was sending: the leg can wait for the deadline in vain only.
+            # The host had done the work and was sending: the attempt can wait for the deadline in vain only.
             self.end(line, Ending.STALLED)
--- a/hazelhollow/net/ending.py
+++ b/hazelhollow/net/ending.py
@@ -31,9 +31,9 @@
 
 
 def outcome(ending: Ending, written: bool) -> Status:
-    """The module's word for a leg whose connection ended so.
+    """The module's word for an attempt whose connection ended so.
 
-    It turns on whether the last byte of the leg's request had been written. Up to then no backend host can have
+    It turns on whether the last byte of the attempt's request had been written. Up to then no backend host can have
     begun it, even where the wait ran out, and unsent bytes are dropped; from then on it may have run, whatever
     ended the connection.
     """
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -12,7 +12,7 @@
 from hazelhollow import interface as api
 from hazelhollow import wire
 from hazelhollow.net import scheduler as sch
-from hazelhollow.net.backend import Backend, Leg, Result
+from hazelhollow.net.backend import Attempt, Backend, Result
 from hazelhollow.net.ending import Ending
 from hazelhollow.net.peers import Peers
 from hazelhollow.net.sparse import Sparse
@@ -47,13 +47,13 @@
 
 
 class Open:
-    """A request that is owed its answer, or whose legs are still out."""
+    """A request that is owed its answer, or whose attempts are still out."""
 
-    __slots__ = ("id", "ask", "caller", "deadline", "legs", "out", "answered", "timer", "__weakref__")
+    __slots__ = ("id", "ask", "caller", "deadline", "attempts", "out", "answered", "timer", "__weakref__")
 
     def __init__(self, key: str, ask: Ask, caller: Caller, deadline: float) -> None:
         self.id, self.ask, self.caller, self.deadline = key, ask, caller, deadline
-        self.legs: list[Leg] = []
+        self.attempts: list[Attempt] = []
         self.out = 0
         self.answered = False
         self.timer: sch.Timer | None = None
@@ -116,8 +116,8 @@
             self._stats.clients_gone += 1
             one.answered = True
             self._handle(api.ClientGone(one.id), one)
-            for leg in one.legs:
-                self._backend.hold_back(leg, Ending.CANCELLED)
+            for attempt in one.attempts:
+                self._backend.hold_back(attempt, Ending.CANCELLED)
 
     # Everything else that happens
 
@@ -140,29 +140,29 @@
         self._handle(api.Timer(name))
 
     def _expire(self, one: Open) -> None:
-        """The client stops waiting now: so do the legs, and the answer is due."""
-        for leg in one.legs:
-            self._backend.give_up(leg, Ending.TIMED_OUT)
+        """The client stops waiting now: so do the attempts, and the answer is due."""
+        for attempt in one.attempts:
+            self._backend.give_up(attempt, Ending.TIMED_OUT)
         if not one.answered and not self._busy:
             self._rescue(one, "no decision by its deadline")
         self._let_go(one)
 
-    def _leg_done(self, one: Open, number: int, result: Result) -> None:
-        leg, now = one.legs[number], self._scheduler.clock()
+    def _attempt_done(self, one: Open, number: int, result: Result) -> None:
+        attempt, now = one.attempts[number], self._scheduler.clock()
         one.out -= 1
         self._stats.outcomes[result.status] += 1
         if result.status == "ok" and not one.answered:
             one.answered = True
             self._stats.served += 1
             self._stats.reply(one.ask.request.class_name, "success")
-            self._stats.ok_seconds += now - leg.started
+            self._stats.ok_seconds += now - attempt.started
             one.caller.served(result.value)
         event = api.Outcome(
             one.id,
             number,
-            leg.host.name,
+            attempt.host.name,
             result.status,
-            now - leg.started,
+            now - attempt.started,
             one.answered,
             self._true_units(result),
             wire.read_report(result.report),
@@ -237,8 +237,8 @@
                 self.peers.tell(action.gateway, action.text)
         elif isinstance(action, api.Cancel):
             found = self.open.get(action.id)
-            if found and action.attempt < len(found.legs):
-                self._backend.give_up(found.legs[action.attempt], Ending.CANCELLED)
+            if found and action.attempt < len(found.attempts):
+                self._backend.give_up(found.attempts[action.attempt], Ending.CANCELLED)
         elif isinstance(action, api.Log):
             log.info("%s", action.text)
         elif isinstance(action, api.Closed) and self.closed:
@@ -249,24 +249,24 @@
         one = self.open.get(action.id)
         if one is None or one.answered or now >= one.deadline:
             self._events.append(
-                (api.Outcome(action.id, len(one.legs) if one else 0, action.server, "moot", 0.0), one)
+                (api.Outcome(action.id, len(one.attempts) if one else 0, action.server, "moot", 0.0), one)
             )
             return
         if self.sent is not None:
             self.sent[action.server] += 1
             if len(self.samples) < self.most_samples:
                 self.samples.append(action.id)
-        number, left = len(one.legs), one.deadline - now
+        number, left = len(one.attempts), one.deadline - now
         if 0 < action.timeout < left:
             left = action.timeout
         command = one.ask.command(max(1, round(left * 1000)))
         one.out += 1
-        leg = self._backend.start(action.server, command, lambda result: self._leg_done(one, number, result))
-        one.legs.append(leg)
+        attempt = self._backend.start(action.server, command, lambda result: self._attempt_done(one, number, result))
+        one.attempts.append(attempt)
         if action.begin_by < now + left:
-            leg.begin_timer = self._scheduler.at(action.begin_by, self._backend.hold_back, leg, Ending.NEVER_UP)
+            attempt.begin_timer = self._scheduler.at(action.begin_by, self._backend.hold_back, attempt, Ending.NEVER_UP)
         if now + left < one.deadline:
-            leg.timer = self._scheduler.at(now + left, self._backend.give_up, leg, Ending.TIMED_OUT)
+            attempt.timer = self._scheduler.at(now + left, self._backend.give_up, attempt, Ending.TIMED_OUT)
 
     def _answer(self, request: str) -> Open | None:
         """The record of a request that gets its final answer now."""
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -145,18 +145,18 @@
                 "discovery's first list after %.3f s; %d requests taken before it",
                 self.scheduler.clock() - self.began, self.stats.requests,
             )
-        # First the module: a leg that has not left for a host that goes ends with `update`, and the module
+        # First the module: an attempt that has not left for a host that goes ends with `update`, and the module
         # then chooses anew from the list as it stands.
         self.limiter.told(event)
         self._update_hosts()
         self.frontend.ready()
 
     def _update_hosts(self) -> None:
-        """A leg that has not left for a host that drains, is gone or was put out by hand never will."""
+        """An attempt that has not left for a host that drains, is gone or was put out by hand never will."""
         self.backend.update({k: v for k, v in self.table.open_addresses().items() if k not in self.banned})
 
     def reload(self, reread: Callable[[], Config]) -> None:
-        """Takes the addresses of the new file; clients, legs and budgets stay. A bad file changes nothing."""
+        """Takes the addresses of the new file; clients, attempts and budgets stay. A bad file changes nothing."""
         try:
             config = reread()
             _changeable(self.settings, config.settings)
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -17,8 +17,8 @@
         self.requests = self.served = self.declined = self.failed = self.clients_gone = 0
         self.declines: Counter[str] = Counter()  # by the module's reason
         self.rescued = 0  # requests answered here because the module had not
-        self.legs = self.reused = self.opened = self.no_descriptor = 0  # backend hosts
-        self.ok_seconds = 0.0  # that legs which served took, together
+        self.attempts = self.reused = self.opened = self.no_descriptor = 0  # backend hosts
+        self.ok_seconds = 0.0  # that attempts which served took, together
         self.settled = self.figures_bad = 0  # answers with true units, and with figures that cannot be true
         self.outcomes: Counter[str] = Counter()
         self.endings: Counter[Ending] = Counter()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -228,7 +228,7 @@
     stage = Stage(hosts=1)
     fillers = unanswering(stage)
     stage.play(f"a send {ask(1)}")
-    assert stage.service.stats.legs == 1 and stage.service.stats.opened == 0
+    assert stage.service.stats.attempts == 1 and stage.service.stats.opened == 0
     leave(stage, "a", how)
     assert not stage.service.backend._lines and not stage.service.limiter.open
     assert stage.service.stats.dispatches == 0 and len(fillers) == 2
@@ -272,9 +272,9 @@
         leave(stage, f"p{number}", ("close", "half", "reset")[number % 3])
     for number in range(1, 10, 2):
         leave(stage, f"w{number}", "close")
-    legs = stage.service.stats.legs
+    attempts = stage.service.stats.attempts
     stage.play("wait 3.5")
-    assert stage.service.stats.legs == legs and stage.service.stats.dispatches == 0
+    assert stage.service.stats.attempts == attempts and stage.service.stats.dispatches == 0
     assert not stage.service.limiter.open and not stage.service.frontend.sessions and len(fillers) == 4
 
 
@@ -285,7 +285,7 @@
     end.sendall(b"".join(stage.bytes_of(ask(number)) for number in range(50)))
     end.close()
     stage.play(f"b send {ask(60)}\ns1 expect {ask(60)}\ns1 send {VALUE}\nb expect $2\\r\\nhi")
-    assert stage.service.stats.requests == 1 == stage.service.stats.legs
+    assert stage.service.stats.requests == 1 == stage.service.stats.attempts
 
 
 def test_an_answer_is_told_to_the_module_once_also_when_the_client_goes_in_the_same_turn() -> None:
@@ -336,7 +336,7 @@
     stage.now += 0.3 - left - 0.05
     stage.play("s1 close")
     (one,) = stage.service.limiter.open.values()
-    assert len(one.legs) == 2 and one.out == 1
+    assert len(one.attempts) == 2 and one.out == 1
     stage.play(f"wait {left + 0.05}")
     assert not one.out and not stage.service.backend._lines and len(fillers) == 2
     stage.play("a expect -BUSY 250")  # all hosts know its key, so it may be tried anew
@@ -374,12 +374,12 @@
     stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
     backend = stage.service.backend
     (one,) = stage.service.limiter.open.values()
-    (leg,) = one.legs
+    (attempt,) = one.attempts
     stage._end("s1").sendall(stage.bytes_of(VALUE))
     if order == "answer first":
         stage.settle()
-    backend.give_up(leg, Ending.CANCELLED)
-    backend.give_up(leg, Ending.TIMED_OUT)
+    backend.give_up(attempt, Ending.CANCELLED)
+    backend.give_up(attempt, Ending.TIMED_OUT)
     stage.settle()
     assert sum(stage.service.stats.outcomes.values()) == 1
     if order == "answer first":
@@ -388,11 +388,11 @@
         stage.play(f"s1.1 expect closed\ns1.2 expect {ask(1)}\ns1.2 send {VALUE}\na expect $2\\r\\nhi")
 
 
-def test_a_leg_given_up_in_the_turn_in_which_its_connection_comes_up_is_not_sent() -> None:
+def test_a_attempt_given_up_in_the_turn_in_which_its_connection_comes_up_is_not_sent() -> None:
     stage = Stage(hosts=1)
-    leg = stage.service.backend.start("s1", b"x" * 10, lambda result: None)
+    attempt = stage.service.backend.start("s1", b"x" * 10, lambda result: None)
     stage.scheduler._run()  # its connection is begun, and up by now; that it is has not been read
-    stage.service.backend.give_up(leg, Ending.CANCELLED)
+    stage.service.backend.give_up(attempt, Ending.CANCELLED)
     stage.settle()
     end = stage._end("s1")
     assert end.recv(99) == b"" and stage.service.stats.dispatches == 0
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -24,7 +24,7 @@
             pass
         stage.settle(2)
         assert len(stage.service.limiter.open) <= MOST_PIPELINED + 1
-    assert stage.service.stats.requests and stage.service.stats.legs <= MOST_PIPELINED  # of which no host answers one
+    assert stage.service.stats.requests and stage.service.stats.attempts <= MOST_PIPELINED  # of which no host answers one
     other = stage._end("b")
     other.sendall(stage.bytes_of(ask(1)))
     stage.play("wait 0.1")
--- a/tests/test_hosts_end.py
+++ b/tests/test_hosts_end.py
@@ -48,7 +48,7 @@
         stage.play(f"s1 expect {command(kind, 1, 650)}\ns1 send {VALUE}\na expect $2\\r\\nhi")
     else:
         stage.play(f"a expect {said}")
-    assert stage.service.stats.legs == 1 + again and not stage.service.limiter.open
+    assert stage.service.stats.attempts == 1 + again and not stage.service.limiter.open
 
 
 @pytest.mark.parametrize("case", MAY_HAVE_RUN)
@@ -135,7 +135,7 @@
     assert line.touched() and not line.whole()
     stage.service._changed(stage.service.table.apply(stage.table("whole", 3, "s1:terminating", "s2:in_service")))
     stage.play(f"s1 expect {DO.format(1).replace('BODY', body)}\ns1 send {VALUE}\na expect $2\\r\\nhi")
-    assert stage.service.stats.legs == 1
+    assert stage.service.stats.attempts == 1
 
 
 def test_a_class_that_becomes_harmless_by_name_does_not_reach_back_to_an_order_that_may_have_run() -> None:
@@ -144,7 +144,7 @@
     harmless = replace(SETTINGS, classes=(LOOK, replace(BUY, effect="safe")), max_attempts=9)
     stage.service.reload(lambda: replace(stage.config, settings=harmless))
     stage.play("s1 close\na expect -ERR failed")
-    assert stage.service.stats.legs == 1
+    assert stage.service.stats.attempts == 1
 
 
 def test_a_window_that_grows_by_name_does_not_reach_back_to_an_order_that_may_have_run() -> None:
@@ -152,4 +152,4 @@
     stage.play(f"a send {DO.format(1)}\ns1 expect {DO.format(1)}")
     stage.service.reload(lambda: replace(stage.config, settings=replace(SETTINGS, classes=(LOOK, ANY))))
     stage.play("wait 0.35\ns1 close\na expect -BUSY 250")
-    assert stage.service.stats.legs == 1
+    assert stage.service.stats.attempts == 1
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -53,7 +53,7 @@
         s1 send hi\\r\\n$-1
         s1 send $-1
         a expect $2\\r\\nhi""",
-    "a connection is used again, one leg at a time": f"""
+    "a connection is used again, one attempt at a time": f"""
         a send {ask(1)}
         s1 expect {ask(1)}
         b send {ask(2)}
@@ -89,20 +89,20 @@
         s1 expect {ask(1)}
         s1 send {VALUE}
         a expect $2\\r\\nhi""",
-    "a keyed leg that may have run bars a decline": f"""
+    "a keyed attempt that may have run bars a decline": f"""
         a send {DO.format(1)}
         s1 expect {DO.format(1)}
         s1 stop
         s1 close
         a expect -ERR failed""",
-    "a leg that never ran may be declined, with a time to come back": f"""
+    "an attempt that never ran may be declined, with a time to come back": f"""
         s1 stop
         a send {DO.format(1)}
         a expect -BUSY 250""",
     "a decline names its wait": """
         a send [Q.ASK 00000000b4d65521 r1 c=look,t=basic,d=900,units=500,spread=2,first=0]
         a expect -BUSY 1000""",
-    "at the deadline the leg is given up and the client has its answer": f"""
+    "at the deadline the attempt is given up and the client has its answer": f"""
         a send {DO.format(1)}
         s1 expect {DO.format(1)}
         wait 0.9
@@ -121,7 +121,7 @@
         s1 send {VALUE}\\r\\n{VALUE}
         a expect $2\\r\\nhi
         s1.1 expect closed""",
-    "what was on its way behind a good answer is not the next leg's": f"""
+    "what was on its way behind a good answer is not the next attempt's": f"""
         a send {ask(1)}
         s1 expect {ask(1)}
         s1 send {VALUE}
@@ -260,7 +260,7 @@
         a expect -ERR unknown command
         a send [CLIENT SETNAME x]
         a expect +OK""",
-    "a reload moves the watch at once, asks for the whole list and keeps clients, legs and hosts": f"""
+    "a reload moves the watch at once, asks for the whole list and keeps clients, attempts and hosts": f"""
         disco expect {GET}
         {READY}
         disco expect {WATCH.format(1)}
@@ -298,7 +298,7 @@
     Stage(hosts=1, heard=name not in BEFORE_DISCOVERY).play(SCENARIOS[name])
 
 
-def test_a_client_that_leaves_is_told_to_the_module_and_its_leg_is_read_to_the_end() -> None:
+def test_a_client_that_leaves_is_told_to_the_module_and_its_attempt_is_read_to_the_end() -> None:
     stage = Stage(hosts=1)
     stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}\na close")
     assert stage.service.stats.clients_gone == 1 and len(stage.service.limiter.open) == 1
@@ -329,15 +329,15 @@
     assert set(stage.service.stats.outcomes) <= {"ok", "connect_failed"}
 
 
-def test_a_leg_that_has_not_left_for_a_host_that_drains_goes_to_another() -> None:
+def test_a_attempt_that_has_not_left_for_a_host_that_drains_goes_to_another() -> None:
     """A connection may come up after the host was told to drain, and 250 ms are soon over."""
     stage = Stage(hosts=2)
     stage.play("disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n")
     stage.service.limiter.told(stage.service.table.apply(stage.table("whole", 2, "s1:in_service")))
     stage.service.backend.update({"s1": ("127.0.0.1", 9)})
     done: list[str] = []
-    leg = stage.service.backend.start("s1", b"x" * 10, lambda result: done.append(result.status))
-    assert leg.line and not leg.line.touched()
+    attempt = stage.service.backend.start("s1", b"x" * 10, lambda result: done.append(result.status))
+    assert attempt.line and not attempt.line.touched()
     stage.service.backend.update({})
     assert done == ["connect_failed"]
 
@@ -539,7 +539,7 @@
     raise OSError(errno.EMFILE, "none left")
 
 
-def test_a_leg_for_which_no_descriptor_is_left_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_attempt_for_which_no_descriptor_is_left_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     stage = Stage(hosts=1)
     stage.play("a send [CLIENT]\na expect +OK")
     monkeypatch.setattr("socket.socket", no_descriptor)
@@ -642,7 +642,7 @@
     """The list that a limiter is started with may be old: a host in it may drain by now."""
     stage = Stage(hosts=2, heard=False)
     stage.play(f"a send {ask(1)}\nwait 0.1")
-    assert stage.service.stats.requests == 0 and stage.service.stats.legs == 0
+    assert stage.service.stats.requests == 0 and stage.service.stats.attempts == 0
     stage.play(f"disco expect {GET}\ndisco send whole 2 s1:in_service s2:terminating\ns1 expect {ask(1, 900)}")
     assert stage.service.stats.requests == 1
 
@@ -650,5 +650,5 @@
 def test_without_discovery_the_list_it_was_given_serves_after_a_while() -> None:
     stage = Stage(hosts=1, heard=False)
     stage.play(f"a send {ask(1)}\nwait 0.2")
-    assert stage.service.stats.legs == 0
+    assert stage.service.stats.attempts == 0
     stage.play(f"wait 0.3\ns1 expect {ask(1, 500)}")  # what it waited is not the host's to spend
