--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -26,6 +26,7 @@
 from hazelhollow import interface as api
 from hazelhollow.config import Config
 from hazelhollow.net import resp
+from hazelhollow.net.ending import Ending
 from hazelhollow.net.scheduler import Scheduler
 from hazelhollow.net.service import Attachment, Service
 
@@ -45,11 +46,15 @@
     poll.poll(2)
 
 
+STAGES: list[Stage] = []  # of the test that runs
+
+
 class Stage:
-    """A whole limiter with a clock of its own, and all the parties round it."""
+    """A whole limiter with a clock of its own, and all the parties round it. Closed after its test (conftest)."""
 
     def __init__(self, hosts: int = 2, attached: Attachment | None = None, heard: bool = True, **changes: Any) -> None:
         """`heard`: as if discovery had answered once, so that requests are taken at once."""
+        STAGES.append(self)
         self.now = START
         self.scheduler = Scheduler(lambda: self.now)
         self.listeners = {f"s{n}": self._listener() for n in range(1, hosts + 1)} | {
@@ -71,6 +76,21 @@
             self.service.frontend.ready()
         self.settle()
 
+    def close(self) -> None:
+        """Every descriptor: else a run of hundreds of stages would hold thousands."""
+        for sock in (self.peer, *self.listeners.values(), *(end for ends in self.ends.values() for end in ends)):
+            sock.close()
+        service = self.service
+        for session in [*service.frontend.sessions, *service.frontend.lingering]:
+            session._driver.close(Ending.SHUTDOWN)
+        for driver in (service.watch._driver, service.watch._slow):
+            if driver:
+                driver.close(Ending.SHUTDOWN)
+        service.backend.close()
+        for open_socket in (service.frontend, service.operator, service.limiter.peers):
+            if open_socket:
+                open_socket._sock.close()
+
     def _listener(self) -> socket.socket:
         sock = socket.create_server(("127.0.0.1", 0))
         sock.setblocking(False)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -25,6 +25,13 @@
 LOOPBACK = ("127.0.0.1", 0)
 
 
+def readable(sock: socket.socket, seconds: float) -> bool:
+    """Not by select(): a run of many tests may hold more descriptors than that can name."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(seconds * 1000))
+
+
 class Net:
     """Two datagram sockets, `a` and `b`, that know each other by the relay's addresses; the clock is set by hand."""
 
@@ -63,7 +70,7 @@
 
     def got(self, who: str) -> list[str]:
         found = []
-        while select.select([self.socks[who]], [], [], 0.01)[0]:
+        while readable(self.socks[who], 0.01):
             data, sender = self.socks[who].recvfrom(100)
             assert sender == self.known["b" if who == "a" else "a"]  # the peer's own, as the receiver knows it
             found.append(data.decode())
@@ -141,7 +148,7 @@
             listen = probe.getsockname()
         self.relay.connections("c", "n0", listen, self.server.getsockname())
         self.client = socket.create_connection(listen)
-        self.until(lambda: bool(select.select([self.server], [], [], 0)[0]))
+        self.until(lambda: readable(self.server, 0))
         self.far, _ = self.server.accept()
         for sock in (self.client, self.far):
             sock.setblocking(False)
