--- a/hazelhollow/ask.py
+++ b/hazelhollow/ask.py
@@ -28,7 +28,7 @@
 def ask(to: str, kind: str, plan: str, customer: str, units: int, count: int, spread: int, wait: float, as_json: bool) -> None:
     """Send requests to a limiter and show the answers.
 
-    Exit status 0: all were served. 1: some were declined or failed. 2: the limiter could not be reached.
+    Exit status 0: all were served. 1: some were refused or failed. 2: the limiter could not be reached.
     """
     outcomes, shown = Counter[str](), ""
     began = time.monotonic()
@@ -41,7 +41,7 @@
                 answer = _answer(sock, parser)
                 word = "served" if isinstance(answer, bytes) and not isinstance(answer, resp.Fault) else "failed"
                 if isinstance(answer, resp.Fault) and answer.startswith(b"BUSY"):
-                    word = "declined"
+                    word = "refused"
                 outcomes[word] += 1
                 shown = bytes(answer).decode("utf-8", "replace") if isinstance(answer, bytes) else str(answer)
     except (OSError, ValueError, resp.ProtocolError) as error:
--- a/hazelhollow/audit/driver.py
+++ b/hazelhollow/audit/driver.py
@@ -42,7 +42,7 @@
         """Hosts that are out by hand."""
 
     def figures(self) -> dict[str, int]:
-        """Counts that only grow: requests, served, declined, failed."""
+        """Counts that only grow: requests, served, refused, failed."""
 
     def sent(self) -> Counter[str]:
         """Attempts by host since this was asked last."""
--- a/hazelhollow/net/frontend.py
+++ b/hazelhollow/net/frontend.py
@@ -140,14 +140,14 @@
     def served(self, value: bytes) -> None:
         self.settle(resp.bulk(value))
 
-    def declined(self, wait_ms: int) -> None:
+    def refused(self, wait_ms: int) -> None:
         self.session.turned_away()
         self.settle(b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n")
 
     def failed(self) -> None:
         self.settle(b"-ERR failed\r\n")
 
-    def refused(self, why: str) -> None:
+    def rejected(self, why: str) -> None:
         """A command that is not of the protocol."""
         self.session.turned_away()
         self.settle(b"-ERR %b\r\n" % why.encode())
@@ -257,7 +257,7 @@
         return None
 
     def turned_away(self) -> None:
-        """Whoever asks again at once, however often, takes no more than its share of the processor. Declines and
+        """Whoever asks again at once, however often, takes no more than its share of the processor. Refusals and
         errors count, and what asks for no work."""
         self._refill()
         self._allowed -= 1.0
@@ -338,7 +338,7 @@
         self._doomed = self._frontend.scheduler.clock()
         slot = Slot(self)
         self._slots.append(slot)
-        slot.refused(f"protocol error: {why}")
+        slot.rejected(f"protocol error: {why}")
 
     def _commands(self) -> None:
         for _ in range(BATCH):
@@ -376,7 +376,7 @@
         except BadCommand as error:
             frontend.stats.bad += 1
             self._bad += 1
-            slot.refused(str(error))
+            slot.rejected(str(error))
             return
         self._bad = 0
         slot.size = ask.size
--- a/hazelhollow/net/limiter.py
+++ b/hazelhollow/net/limiter.py
@@ -33,7 +33,7 @@
     """The client side of one request, whatever protocol it came by. It gets one of these calls, once."""
 
     def served(self, value: bytes) -> None: ...
-    def declined(self, wait_ms: int) -> None: ...
+    def refused(self, wait_ms: int) -> None: ...
     def failed(self) -> None: ...
 
 
@@ -82,9 +82,9 @@
         request = ask.request
         self._stats.requests += 1
         if len(self.open) >= self._most_open:
-            self._stats.declined += 1
+            self._stats.refused += 1
             self._stats.reply(request.class_name, "overload")
-            caller.declined(0)
+            caller.refused(0)
             return None
         known = self.open.get(request.id)
         if known and known.ask.request.customer != request.customer:  # two clients may pick one: each is its own request
@@ -100,7 +100,7 @@
         one = Open(request.id, ask, caller, self._scheduler.clock() + request.patience)
         self.open[request.id] = one
         self._handle(request, one)
-        if one.answered:  # most declines come at once and need no timer
+        if one.answered:  # most refusals come at once and need no timer
             return None
         one.timer = self._scheduler.at(one.deadline, self._expire, one)
         return one
@@ -220,10 +220,10 @@
         elif isinstance(action, api.Refuse):
             one = self._answer(action.id)
             if one:
-                self._stats.declined += 1
-                self._stats.declines[action.why] += 1
+                self._stats.refused += 1
+                self._stats.refusals[action.why] += 1
                 self._stats.reply(one.ask.request.class_name, "overload")
-                one.caller.declined(math.ceil(action.retry_after * 1000))
+                one.caller.refused(math.ceil(action.retry_after * 1000))
         elif isinstance(action, api.Fail):
             one = self._answer(action.id)
             if one:
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -14,8 +14,8 @@
     def __init__(self) -> None:
         self.at = 0.0  # Unix time in seconds of a line that is printed again and again
         self.accepted = self.commands = self.malformed = self.bad = self.relieved = 0  # client side
-        self.requests = self.served = self.declined = self.failed = self.clients_gone = 0
-        self.declines: Counter[str] = Counter()  # by the module's reason
+        self.requests = self.served = self.refused = self.failed = self.clients_gone = 0
+        self.refusals: Counter[str] = Counter()  # by the module's reason
         self.rescued = 0  # requests answered here because the module had not
         self.attempts = self.reused = self.opened = self.no_descriptor = 0  # backend hosts
         self.ok_seconds = 0.0  # that attempts which served took, together
--- a/hazelhollow/operator/attach.py
+++ b/hazelhollow/operator/attach.py
@@ -53,7 +53,7 @@
 
     def figures(self) -> dict[str, int]:
         stats = self._service.stats
-        return {"requests": stats.requests, "served": stats.served, "declined": stats.declined, "failed": stats.failed}
+        return {"requests": stats.requests, "served": stats.served, "refused": stats.refused, "failed": stats.failed}
 
     def sent(self) -> Counter[str]:
         counts, self._service.limiter.sent = self._service.limiter.sent or Counter(), Counter()
--- a/hazelhollow/rig/audited.py
+++ b/hazelhollow/rig/audited.py
@@ -50,7 +50,7 @@
         number = int(row["to"].removeprefix(FIRST))
         offset = fleet.offsets.get(number, 0.0)
         near = [s for s in fleet.members[number].spans if s.begin - offset - NEAR <= row["end"] and s.end - offset + NEAR >= row["t"]]
-        if row["new"] in ("served", "declined"):
+        if row["new"] in ("served", "busy"):
             wrong += bool(near) and not any(_holds(span, row["order"]) for span in near)
         elif row["new"] == "unknown" and row["look"] == "served":
             unseen += bool(near) and all(_holds(span, row["order"]) for span in near)
--- a/hazelhollow/rig/checker.py
+++ b/hazelhollow/rig/checker.py
@@ -149,8 +149,8 @@
         doubled += row["extra"]
         if row["outcome"] == "served" and (row["value"] != f"served {row['id']}" or not begun[row["id"]]):
             untrue += 1
-        if row["outcome"] == "declined" and row["kind"] == "buy" and begun[row["id"]]:
-            untrue += 1  # declined, which promises that it has not run
+        if row["outcome"] == "busy" and row["kind"] == "buy" and begun[row["id"]]:
+            untrue += 1  # busy, which promises that it has not run
     once = {row["id"] for row in requests if row["kind"] == "buy"}
     return {
         "lost": len(lost),
--- a/hazelhollow/rig/clients.py
+++ b/hazelhollow/rig/clients.py
@@ -122,7 +122,7 @@
 def _read(answer: resp.Value) -> tuple[str, str]:
     first = answer[0] if isinstance(answer, list) and answer else answer
     if isinstance(first, resp.Fault):
-        return ("declined" if first.startswith(b"BUSY") else "failed"), first.decode(errors="replace")
+        return ("busy" if first.startswith(b"BUSY") else "failed"), first.decode(errors="replace")
     if isinstance(first, bytes) and not isinstance(first, resp.Simple):
         return "served", first.decode(errors="replace")
     return "failed", ""
--- a/hazelhollow/rig/probes.py
+++ b/hazelhollow/rig/probes.py
@@ -31,7 +31,7 @@
             self._out.flush()
 
     def _ask(self, kind: str) -> str:
-        """served, declined, unknown (no such class), or nothing."""
+        """served, busy, unknown (no such class), or nothing."""
         made = stream.connect(self._scheduler, self._door.address, MOST_OUT, WITHIN)
         if isinstance(made, Ending):
             return ""
@@ -49,5 +49,5 @@
             parser.feed(data or b"")
         made.close(Ending.CLOSED)
         if isinstance(value, resp.Fault):
-            return "declined" if value.startswith(b"BUSY") else "unknown"
+            return "busy" if value.startswith(b"BUSY") else "unknown"
         return "served"
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -388,7 +388,7 @@
         stage.play(f"s1.1 expect closed\ns1.2 expect {ask(1)}\ns1.2 send {VALUE}\na expect $2\\r\\nhi")
 
 
-def test_a_attempt_given_up_in_the_turn_in_which_its_connection_comes_up_is_not_sent() -> None:
+def test_an_attempt_given_up_in_the_turn_in_which_its_connection_comes_up_is_not_sent() -> None:
     stage = Stage(hosts=1)
     attempt = stage.service.backend.start("s1", b"x" * 10, lambda result: None)
     stage.scheduler._run()  # its connection is begun, and up by now; that it is has not been read
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -312,7 +312,7 @@
         (asked(1, extra=1), [ran(1)], [], "doubled", 1),
         (asked(1), [], [], "untrue_answers", 1),
         (asked(1, value="served r2"), [ran(1)], [], "untrue_answers", 1),
-        (asked(1, kind="buy", outcome="declined"), [ran(1)], [], "untrue_answers", 1),
+        (asked(1, kind="buy", outcome="busy"), [ran(1)], [], "untrue_answers", 1),
         (asked(1, kind="buy"), [ran(1), ran(1)], [], "repeats_not_allowed", 1),
         (asked(1), [ran(1), ran(1)], [], "repeats_not_allowed", 0),
     ],
@@ -535,7 +535,7 @@
             {"t": 106.0, "end": 106.1, "to": "n0", "order": 1, "new": "served", "look": "served"},
             {"t": 107.0, "end": 107.1, "to": "n1", "order": 1, "new": "unknown", "look": "served"},
             {"t": 108.0, "end": 108.1, "to": "n2", "order": 1, "new": "unknown", "look": "served"},
-            {"t": 119.0, "end": 119.1, "to": "n3", "order": 1, "new": "unknown", "look": "declined"},
+            {"t": 119.0, "end": 119.1, "to": "n3", "order": 1, "new": "unknown", "look": "busy"},
         ],
     }
     for name, lines in rows.items():
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -89,17 +89,17 @@
         s1 expect {ask(1)}
         s1 send {VALUE}
         a expect $2\\r\\nhi""",
-    "a keyed attempt that may have run bars a decline": f"""
+    "a keyed attempt that may have run bars a refusal": f"""
         a send {DO.format(1)}
         s1 expect {DO.format(1)}
         s1 stop
         s1 close
         a expect -ERR failed""",
-    "an attempt that never ran may be declined, with a time to come back": f"""
+    "an attempt that never ran may be refused, with a time to come back": f"""
         s1 stop
         a send {DO.format(1)}
         a expect -BUSY 250""",
-    "a decline names its wait": """
+    "a refusal names its wait": """
         a send [Q.ASK 00000000b4d65521 r1 c=look,t=basic,d=900,units=500,spread=2,first=0]
         a expect -BUSY 1000""",
     "at the deadline the attempt is given up and the client has its answer": f"""
@@ -329,7 +329,7 @@
     assert set(stage.service.stats.outcomes) <= {"ok", "connect_failed"}
 
 
-def test_a_attempt_that_has_not_left_for_a_host_that_drains_goes_to_another() -> None:
+def test_an_attempt_that_has_not_left_for_a_host_that_drains_goes_to_another() -> None:
     """A connection may come up after the host was told to drain, and 250 ms are soon over."""
     stage = Stage(hosts=2)
     stage.play("disco expect GET /discovery/hosts HTTP/1.1\\r\\n**\\r\\n")
@@ -539,7 +539,7 @@
     raise OSError(errno.EMFILE, "none left")
 
 
-def test_a_attempt_for_which_no_descriptor_is_left_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_attempt_for_which_no_descriptor_is_left_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     stage = Stage(hosts=1)
     stage.play("a send [CLIENT]\na expect +OK")
     monkeypatch.setattr("socket.socket", no_descriptor)
@@ -612,12 +612,12 @@
     stage.play(f"s1 expect {ask(1, 800)}\nwait 0.81\ns1 expect closed")
 
 
-def test_counters_are_printed_at_whole_seconds_with_declines_by_reason(capsys: pytest.CaptureFixture[str]) -> None:
+def test_counters_are_printed_at_whole_seconds_with_refusals_by_reason(capsys: pytest.CaptureFixture[str]) -> None:
     stage = Stage(hosts=1)
     stage.service.print_counters_every(1.0)  # its clock starts on a whole second
     stage.play(f"a send {ask(1).replace('units=1', 'units=400')}\nwait 1.1")
     lines = [orjson.loads(line) for line in capsys.readouterr().err.splitlines() if line.startswith("{")]
-    assert [int(line["at"]) for line in lines] == [1_000_001] and lines[0]["declines"] == {"quota": 1}
+    assert [int(line["at"]) for line in lines] == [1_000_001] and lines[0]["refusals"] == {"quota": 1}
 
 
 def test_bad_commands_in_a_row_get_one_answer_each_and_no_more() -> None:
