--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,9 +85,7 @@
         results = await asyncio.gather(
             *[client(record, listen, number) for number in range(CLIENTS)]
         )
-        if not limiter.is_running():
-            record.add("the limiter has ended")
-            return bench.BROKEN
+        limiter.must_run()
     finally:
         limiter.end()
     lost = [request for unanswered in results for request in unanswered]
@@ -156,4 +154,4 @@
         record.add("too late, after a further command (PING)", id=request_id, answer=kind)
 
 
-bench.run_case(main, FOLDER)
+bench.run_case(main, Path(sys.argv[1]))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import copy
+import json
 import random
 import signal
 import sys
@@ -64,10 +65,11 @@
 
 
 async def main(record: bench.Record, folder: Path) -> int:
-    rng = random.Random(SEED)
+    rng, resets = random.Random(SEED), 0
     ran: dict[str, list[tuple[float, int]]] = {}  # by key: when it ran, and at which cell
 
     async def serve(server: bench.Server, words: list[bytes]) -> bytes | None:
+        nonlocal resets
         key, now = bench.fields_of(words)["k"], time.monotonic()
         known = [at for at, cell in ran.get(key, []) if cell == server.group and now - at < WINDOW_S]
         if known:  # a sound cell drops the repeat, and answers with the value
@@ -77,6 +79,7 @@
             record.add("run", server=server.name, cell=server.group, key=key, id=words[2].decode())
             await asyncio.sleep(rng.uniform(*WORK_S))
             if rng.random() < RESET_SHARE:
+                resets += 1
                 record.add("reset under the request", server=server.name, key=key)
                 return None
         return b"*3\r\n" + bench.bulk(b"order " + key.encode()) + b"$-1\r\n$-1\r\n"
@@ -109,11 +112,9 @@
         counts = await asyncio.gather(
             *[client(record, listen, number, until) for number in range(CLIENTS)]
         )
+        limiter.must_run()
         figures = await bench.operator_call(operator, "vars")
         record.add("vars", answer=figures)
-        if not limiter.is_running():
-            record.add("the limiter has ended")
-            return bench.BROKEN
     finally:
         limiter.end()
     twice = {key: cells for key, runs in ran.items() if len(cells := {c for _, c in runs}) > 1}
@@ -122,8 +123,10 @@
                                                     for t, c in ran[key]])
     record.add("result", requests=sum(counts), keys_run=len(ran), run_at_two_cells=len(twice))
     bench.say(f"{sum(counts)} requests; {len(twice)} of {len(ran)} keys ran at two cells")
-    if not ran:
-        raise bench.NotRunError("no request has run")
+    seen = json.loads(figures)
+    files = seen["reload_success"] + seen["reload_failure"]
+    if not ran or not resets or files != int(bench.TROUBLE):
+        raise bench.NotRunError(f"{len(ran)} requests run, {resets} reset, {files} files read")
     return bench.BROKEN if twice else bench.HELD
 
 
@@ -148,4 +151,4 @@
     return sent
 
 
-bench.run_case(main, FOLDER)
+bench.run_case(main, Path(sys.argv[1]))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,6 +24,7 @@
 LONGEST_WORK_S = 1.0
 QUIET_S = 3.0  # before the SIGTERM
 KILL_S = 3.0 + 0.7  # after it: the longest deadline and 0.7 s
+TAKEN_UNTIL_S = 0.7  # after the SIGTERM: later requests may find the limiter closing
 SAMPLE_S = 0.02  # between two looks at the sockets' queues
 # A close that comes this shortly after the limiter has read the bytes may have crossed them: a
 # limiter that has closed its side of a connection reads on for a while, and drops what it reads.
@@ -90,21 +91,31 @@
         watching = asyncio.create_task(queues.watch())
         load = [asyncio.create_task(client(record, listen, n, stop, queues)) for n in range(CLIENTS)]
         await asyncio.sleep(QUIET_S)
+        limiter.must_run()
         told_at = time.monotonic()
         if bench.TROUBLE:
             record.add("SIGTERM")
             limiter.signal(signal.SIGTERM)
         while limiter.is_running() and time.monotonic() < told_at + KILL_S:
             await asyncio.sleep(0.02)
-        record.add("end", running=limiter.is_running())
+        status = limiter.process.returncode if limiter.process else None
+        record.add("end", running=limiter.is_running(), status=status)
+        # Nobody but the limiter itself may have ended it, and without a SIGTERM it has not ended.
+        if status != (0 if bench.TROUBLE else None):
+            raise bench.NotRunError(f"the limiter's status is {status} {KILL_S} s after the SIGTERM")
         stop.set()
         results = await asyncio.gather(*load)
+        if watching.done():
+            raise bench.NotRunError("the system's table of sockets could not be read")
         watching.cancel()
     finally:
         limiter.end()
     sent = sum(count for count, _ in results)
     # Only what the limiter had read counts: a close may cross a request that it has not read.
-    lost = [row for _, unanswered in results for row in unanswered if row.read_after is not None]
+    # It counts up to 0.7 s after the SIGTERM; what comes later may go unanswered at the end.
+    lost = [row for _, unanswered in results for row in unanswered
+            if row.read_after is not None
+            and (row.closed_at is None or row.sent_at + row.read_after < told_at + TAKEN_UNTIL_S)]
     for row in lost:
         record.add("lost", id=row.id, had_run=row.id in ran,
                    sent_after_sigterm_s=round(row.sent_at - told_at, 3),
@@ -200,4 +211,4 @@
     return bench.command(b"Q.ASK", b"%016x" % (customer + 1), request_id.encode(), fields.encode())
 
 
-bench.run_case(main, FOLDER)
+bench.run_case(main, Path(sys.argv[1]))
