--- a/review/lib/bench.py
+++ b/review/lib/bench.py
@@ -362,6 +362,7 @@
     def end(*_: Any) -> None:
         for limiter in limiters:
             limiter.end()
+            shutil.rmtree(limiter.folder, ignore_errors=True)
         os._exit(NOT_RUN)
 
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
