Wake a session that waits for room in its send buffer, whoever sends the bytes

Cause: a session that has no room for its next answer, or does not read since its send buffer is over half full, relied on a WRITABLE event. The flush at the end of a turn and the one at the beginning of Stream.wait may send the whole buffer in one call, and then no event follows.

Evidence: in a reproduction on real sockets 11 of 16 slots held an answer, the send buffer was empty, and the task waited for READABLE and PEER_CLOSED only.

Fix: Stream.has_room is the one place that says whether bytes fit. After a "no", the task's wait returns as soon as bytes were sent by any call of flush. Both waits of the session use it.

--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -208,13 +208,13 @@
 
     def write_answers(self) -> None:
         """Writes the answers that are next in order, as far as the send buffer has room."""
-        slots, send_buffer = self.slots, self._stream.send_buffer
+        slots = self.slots
         if not slots:
             return
         was_full = len(slots) >= MAX_PIPELINED
         while slots and slots[0].answer is not None:
             answer = slots[0].answer
-            if len(answer) > send_buffer.room():
+            if not self._stream.has_room(len(answer)):
                 break
             slots.popleft()
             self._stream.write(answer)
@@ -270,7 +270,7 @@
         if (
             not self._accepts_commands()
             or len(self.slots) >= MAX_PIPELINED
-            or len(self._stream.send_buffer) > MAX_UNSENT_BYTES // 2
+            or not self._stream.has_room(MAX_UNSENT_BYTES // 2)
         ):
             return None, 0
         if self.unserved_command_limit.tokens < 0.0:
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -101,6 +101,7 @@
         "_sock",
         "_fd",
         "_flush_scheduled",
+        "_room_refused_at",
         "_task",
     )
 
@@ -114,6 +115,8 @@
         self.close_reason: CloseReason | None = None
         self.on_send_failure: Callable[[CloseReason], None] | None = None
         self._flush_scheduled = False
+        # `bytes_sent` when `has_room` last said no; None if the task does not wait for room.
+        self._room_refused_at: int | None = None
         self._task: Task | None = None
 
     def connect(self, address: tuple[str, int], until: float) -> CloseReason | None:
@@ -150,17 +153,21 @@
         """Blocks the current task until the socket is readable or buffered bytes were sent.
 
         Returns:
-            The result of `Scheduler.wait`; WOKEN also if the stream is closed.
+            The result of `Scheduler.wait`; WOKEN also if the stream is closed, or if bytes were
+            sent after `has_room` had said no.
         """
         self._task = self.scheduler.current()
         if self._flush_scheduled:
             # otherwise poll would wait for WRITABLE, which usually holds, and return immediately
             self.flush()
-        if self.close_reason:
-            return WOKEN
-        bits = self.scheduler.wait(self._fd, events | (WRITABLE if self.send_buffer else 0), until)
+        bits = WOKEN
+        if not self.close_reason and not self._has_new_room():
+            bits = self.scheduler.wait(
+                self._fd, events | (WRITABLE if self.send_buffer else 0), until
+            )
         if bits > 0 and bits & WRITABLE and self.send_buffer:
             self.flush()
+        self._room_refused_at = None
         return bits
 
     def wait_unwatched(self) -> None:
@@ -208,6 +215,22 @@
         except OSError:
             return CloseReason.RESET
 
+    def has_room(self, size: int) -> bool:
+        """Whether the send buffer has room for `size` bytes.
+
+        If not, the task's `wait` returns as soon as buffered bytes have been sent, whichever call
+        of `flush` sends them; the task then has to ask again. Guards against a task that waits for
+        room nobody announces: the flush at the end of a turn may empty the buffer at once, and poll
+        then has no WRITABLE event to report.
+        """
+        if size <= self.send_buffer.room():
+            return True
+        self._room_refused_at = self.bytes_sent
+        return False
+
+    def _has_new_room(self) -> bool:
+        return self._room_refused_at is not None and self.bytes_sent > self._room_refused_at
+
     def write(self, data: bytes) -> None:
         """Buffers data to be sent from the end of this turn on; drops it if the stream is closed.
 
@@ -237,6 +260,8 @@
                 view.release()
             self.bytes_sent += sent
             self.send_buffer.drop(sent)
+            if self._room_refused_at is not None:
+                self.wake()
 
     def _handle_send_failure(self, reason: CloseReason) -> None:
         if self.on_send_failure:
--- /dev/null
+++ b/tests/net/test_unsent_answers.py
@@ -0,0 +1,104 @@
+"""Answers that wait for room in a session's send buffer, and who wakes the session when there is.
+
+The operating system may take a full send buffer in one call. No poll event follows, so a session
+that waits for room can only be woken by the call that sent the bytes.
+"""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from hazelhollow.net.scheduler import WOKEN, Scheduler
+from hazelhollow.net.session import MAX_UNSENT_BYTES, Session
+from hazelhollow.net.stream import Stream
+from tests.net.scenario import Stage
+from tests.net.test_scenarios import ask
+
+SOCKET_BUFFER_BYTES = 1 << 20  # so that the system takes a full send buffer in one call
+VALUE = b"v" * 45_000  # six of these answers do not fit into the send buffer
+ANSWER_BYTES = len(b"$45000\r\n%b\r\n" % VALUE)
+
+
+def stage_with_requests(count: int) -> tuple[Stage, socket.socket, Session]:
+    """Returns a limiter, and a client with its session that has sent `count` requests at once."""
+    stage = Stage(hosts=4)
+    client = stage._end("a")
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    stage.settle()
+    (session,) = stage.service.frontend.sessions.sessions
+    session._stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    client.sendall(b"".join(stage.bytes_of(ask(number)) for number in range(count)))
+    stage.settle()
+    assert len(session.slots) == count
+    return stage, client, session
+
+
+def received_bytes(stage: Stage, client: socket.socket) -> int:
+    """Returns how many bytes arrive without any further step of the client."""
+    count = 0
+    for _ in range(300):
+        stage.settle(1)
+        try:
+            count += len(client.recv(1 << 20))
+        except BlockingIOError:
+            continue
+    return count
+
+
+def test_answers_beyond_the_send_buffer_follow_without_further_input() -> None:
+    """Guards against answers that stay in the session: the first of 16 requests is answered last.
+
+    The client received five of the answers, and the others only after its next command.
+    """
+    stage, client, session = stage_with_requests(16)
+    for slot in reversed(list(session.slots)):
+        slot.send_value(VALUE)
+    assert received_bytes(stage, client) == 16 * ANSWER_BYTES
+    assert not session.slots
+
+
+def test_commands_are_read_again_once_unsent_answers_were_sent() -> None:
+    """Guards against a connection that is never read again, with nothing left to send.
+
+    The session stopped reading since its send buffer was over half full, and emptied it itself
+    right after, before it waited.
+    """
+    stage, client, session = stage_with_requests(4)
+    slots = list(session.slots)
+    stage.scheduler.spawn(lambda: [slot.send_value(VALUE) for slot in slots])
+    session._stream.wake()  # it runs after that task, in the same turn
+    assert received_bytes(stage, client) == 4 * ANSWER_BYTES
+    client.sendall(stage.bytes_of("[PING]"))
+    stage.play("a expect +PONG")
+
+
+@pytest.mark.parametrize("refused_in", ["the task", "another task"])
+@pytest.mark.parametrize("flushed_by", ["end of turn", "direct call"])
+def test_task_that_was_refused_room_is_woken_by_any_flush(refused_in: str, flushed_by: str) -> None:
+    """Guards against a wake-up that no path owns: each way of sending has to announce the room."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    scheduler, results = Scheduler(lambda: 0.0), list[int]()
+    stream = Stream(scheduler, accepted, MAX_UNSENT_BYTES)
+
+    def be_refused() -> None:
+        stream.write(b"x" * 1000)
+        assert not stream.has_room(MAX_UNSENT_BYTES)
+        if flushed_by == "direct call":
+            stream.flush()
+
+    def run() -> None:
+        if refused_in == "the task":
+            be_refused()
+        results.append(stream.wait(None, 0))
+
+    with client, accepted:
+        scheduler.spawn(run)
+        if refused_in == "another task":
+            scheduler.turn(longest=0.0)
+            be_refused()
+        scheduler.turn(longest=0.0)
+        assert results == [WOKEN]
