--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -213,11 +213,14 @@
             return
         was_full = len(slots) >= MAX_PIPELINED
         while slots and slots[0].answer is not None:
-            answer = slots[0].answer
+            answer, rest = slots[0].answer[:MAX_UNSENT_BYTES], slots[0].answer[MAX_UNSENT_BYTES:]
             if not self._stream.has_room(len(answer)):
                 break
-            slots.popleft()
             self._stream.write(answer)
+            if rest:  # INFO of a limiter with thousands of classes
+                slots[0].answer = rest
+            else:
+                slots.popleft()
         if not slots:
             self.idle_since = self._frontend.scheduler.clock()
             self._frontend.sessions.set_idle(self, self.idle_since)
--- a/tests/net/test_unsent_answers.py
+++ b/tests/net/test_unsent_answers.py
@@ -67,13 +67,33 @@
     """
     stage, client, session = stage_with_requests(4)
     slots = list(session.slots)
-    stage.scheduler.spawn(lambda: [slot.send_value(VALUE) for slot in slots])
+
+    def answer_all() -> None:
+        for slot in slots:
+            slot.send_value(VALUE)
+
+    stage.scheduler.spawn(answer_all)
     session._stream.wake()  # it runs after that task, in the same turn
     assert received_bytes(stage, client) == 4 * ANSWER_BYTES
     client.sendall(stage.bytes_of("[PING]"))
     stage.play("a expect +PONG")
 
 
+def test_answer_larger_than_the_send_buffer_is_sent_in_pieces() -> None:
+    """Guards against an answer that waits for more room than there can be: INFO with many classes.
+
+    It was never written, and neither was any answer behind it.
+    """
+    stage = Stage(hosts=1)
+    for number in range(8_000):
+        stage.service.stats.reply(f"class-{number}", "success")
+    stage.play("a send [INFO]\na send [PING]")
+    answer = b"$%d\r\n%b\r\n+PONG\r\n"
+    expected = stage.service.stats.to_json().encode()
+    assert len(expected) > MAX_UNSENT_BYTES
+    assert received_bytes(stage, stage._end("a")) == len(answer % (len(expected), expected))
+
+
 @pytest.mark.parametrize("refused_in", ["the task", "another task"])
 @pytest.mark.parametrize("flushed_by", ["end of turn", "direct call"])
 def test_task_that_was_refused_room_is_woken_by_any_flush(refused_in: str, flushed_by: str) -> None:
