Reject a file that lacks a key of the file in force

Cause: an absent key was replaced by its default, for dedup_scope the least strict value. The log of the case shows the damaged file as reloaded.

Fix: hazelhollow/missing_keys.py compares a file that is read again with the one in force, at any depth, so that what a deployment left out from the beginning stays out. A keyed class has to say dedup_scope and window at a start too, and the scope has to be a known one. `fleet config push` is compared in the same way.

--- a/hazelhollow/configuration/rollout_control.py
+++ b/hazelhollow/configuration/rollout_control.py
@@ -17,6 +17,8 @@
 from hazelhollow.configuration.rollout import RolloutEvent
 from hazelhollow.configuration.state import ConfigurationState
 from hazelhollow.configuration.versions import MAX_CANARIES, MAX_REVISION, Candidate
+from hazelhollow.missing_keys import describe_missing_keys
+from hazelhollow.net.settings_reload import OWN_SETTINGS
 
 
 class RolloutControl:
@@ -105,6 +107,11 @@
             )
         if versions.settings_digest(document) == self._state.in_force.digest():
             raise RolloutRefusedError("this member acts on these settings already")
+        in_force = self._state.limiter.settings_document()
+        shared = {key: value for key, value in in_force.items() if key not in OWN_SETTINGS}
+        missing_keys = describe_missing_keys(shared, document)
+        if missing_keys:
+            raise RolloutRefusedError(missing_keys)
 
     def hold(self) -> None:
         """Holds the candidate that this member tries: no other member adopts it."""
--- a/hazelhollow/net/settings_reload.py
+++ b/hazelhollow/net/settings_reload.py
@@ -9,11 +9,11 @@
 - A peer, if an operator file enables the distribution of settings: `check` and `apply` accept a
   settings document.
 
-Settings that cannot be read, or that a running limiter cannot apply, change nothing: all settings
-in force stay in force. For SIGHUP this module logs `the configuration stays as it was: WHY` and
-counts `reload_failure` (among the figures of the operator address); for a peer's settings it
-returns the reason to the caller. Open requests keep the class and the number of attempts with which
-they arrived.
+Settings that cannot be read, that lack a key of the file in force (`missing_keys`), or that a
+running limiter cannot apply, change nothing: all settings in force stay in force. For SIGHUP this
+module logs `the configuration stays as it was: WHY` and counts `reload_failure` (among the figures
+of the operator address); for a peer's settings it returns the reason to the caller. Open requests
+keep the class and the number of attempts with which they arrived.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 from typing import TYPE_CHECKING, Any
 
 from hazelhollow.decisions import interface as api
+from hazelhollow.missing_keys import describe_missing_keys
 from hazelhollow.net.stats import Stats
 from hazelhollow.platform_config import PlatformConfig, PlatformConfigError
 from hazelhollow.simulator.errors import WireError
@@ -67,6 +68,7 @@
         self._stats, self._attachment = stats, attachment
         self._apply_settings, self._apply_addresses = apply_settings, apply_addresses
         self.settings, self.document = self._with_operator_file(config.settings), config.document
+        self._file = config.file
         # The document that was last found valid, and the settings parsed from it.
         self._last_checked: tuple[Mapping[str, Any] | None, api.Settings] = (None, self.settings)
 
@@ -76,6 +78,7 @@
         """Reloads the configuration file. Clients, attempts and budgets are kept."""
         try:
             config = reread()
+            _raise_if_keys_are_missing(self._file, config.file)
             _raise_if_fixed_parts_differ(self.settings, config.settings)
         except PlatformConfigError as error:
             self._stats.reload_failure += 1
@@ -86,6 +89,7 @@
         if self._attachment:
             self._attachment.reload(config_accepted=True)
         self._stats.reload_success += 1
+        self._file = config.file
         self._put_in_force(config.settings, config.document)
         if self._attachment:
             self._attachment.settings_applied()
@@ -132,6 +136,13 @@
         return settings
 
 
+def _raise_if_keys_are_missing(old: Mapping[str, Any], new: Mapping[str, Any]) -> None:
+    """Raises PlatformConfigError if a file lacks keys that the file in force has."""
+    missing_keys = describe_missing_keys(old, new)
+    if missing_keys:
+        raise PlatformConfigError(missing_keys)
+
+
 def _raise_if_fixed_parts_differ(old: api.Settings, new: api.Settings) -> None:
     """Raises PlatformConfigError for a change that a running limiter cannot apply.
 
--- a/hazelhollow/platform_config.py
+++ b/hazelhollow/platform_config.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -55,6 +55,7 @@
         conn_idle: Seconds after which an endpoint closes an idle connection.
         max_open: Maximum number of concurrent requests; requests beyond it are rejected.
         document: The settings as they are written in the file.
+        file: The whole file, with the variables applied and without the list of `known`.
     """
 
     name: str
@@ -73,6 +74,7 @@
     conn_idle: float = 30.0
     max_open: int = 20_000
     document: Mapping[str, Any] = field(default_factory=dict)
+    file: Mapping[str, Any] = field(default_factory=dict)
 
 
 def load(environment: Mapping[str, str], is_reload: bool = False) -> PlatformConfig:
@@ -100,8 +102,10 @@
     for key in RELOAD_VARIABLES if is_reload else START_VARIABLES:
         if f"RELAY_{key.upper()}" in environment:
             document[key] = environment[f"RELAY_{key.upper()}"]
+    # Only the start uses the list of endpoints, which may be long: it is not kept with the file.
+    file = {**document, "known": {}} if document.get("known") is not None else document
     try:
-        return _read(Fields("config", document))
+        return replace(_read(Fields("config", document)), file=file)
     except (WireError, ValueError) as error:
         raise PlatformConfigError(f"{path}: {error}") from None
 
--- a/hazelhollow/simulator/settings_document.py
+++ b/hazelhollow/simulator/settings_document.py
@@ -28,6 +28,7 @@
 from hazelhollow.simulator.fields import Fields
 
 _EFFECTS = {"pure": "safe", "token": "keyed", "side_effect": "unsafe"}
+_DEDUP_SCOPES = {"all": "all", "zone": "zone", "cell": "cell"}
 _MIN_GOAL = 1e-6  # lower bound of the weight of all classes together, which is a divisor
 
 
@@ -95,14 +96,21 @@
 
 
 def _request_class(item: Fields) -> RequestClass:
+    """Parses a class.
+
+    A keyed class has to say which endpoints drop a repeat, and for how long: each default would let
+    some deployment execute a request twice. Other classes have no use for either.
+    """
+    effect = item.one_of("effect", _EFFECTS)
+    is_keyed = effect == "keyed"
     return RequestClass(
         name=item.text("name"),
         latency_objective=item.number("objective"),
         deadline=item.number("deadline"),
         priority_weight=item.number("credit", 1.0),
-        effect=item.one_of("effect", _EFFECTS),
-        dedup_scope=item.text("dedup_scope", "all"),  # type: ignore[arg-type]
-        dedup_window=item.number("window", 0.0),
+        effect=effect,
+        dedup_scope=item.one_of("dedup_scope", _DEDUP_SCOPES) if is_keyed else "all",
+        dedup_window=item.number("window", None if is_keyed else 0.0),
         late_weight=item.number("late_share", 0.0),
     )
 
--- a/tests/configuration/test_rollout.py
+++ b/tests/configuration/test_rollout.py
@@ -338,6 +338,7 @@
         (1, 8, AFTER, "7 at most"),
         (1, 3, BEFORE, "acts on these settings already"),
         (1, 3, {"grades": []}, "no routes"),
+        (1, 3, {"grades": [{"name": "class-0"}]}, "missing keys that are in force"),
     ],
 )
 def test_a_refused_push_changes_nothing(
