Treat a list entry without a group as a cell of its own

The same cause on a related path, a default in place of a missing key: discovery's entries without `group`, and the simulator's without `cluster`, were all put into cell 0, so that a keyed request whose attempt may have run was repeated at an endpoint that need not know its key. Not seen at an operator; found by looking for defaults. Now such a request is repeated at the same endpoint only.

The test failed before (second attempt at s1 after s2 may have run it) and passes now; with a group the repeat still goes to the other endpoint of the cell.

--- a/hazelhollow/decisions/events.py
+++ b/hazelhollow/decisions/events.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple, Union
@@ -42,6 +43,15 @@
     started: float = 0.0
 
 
+def unknown_cell(endpoint_name: str) -> int:
+    """Returns the cell of an endpoint whose list entry names none: a cell of its own.
+
+    A common default would let a keyed request be repeated at an endpoint that does not know its
+    key. Cells of lists are not negative.
+    """
+    return -1 - zlib.crc32(endpoint_name.encode())
+
+
 @dataclass(frozen=True)
 class EndpointsUpdated:
     """The endpoint list, changes to it, or a failure to get it (`failed`)."""
--- a/hazelhollow/decisions/interface.py
+++ b/hazelhollow/decisions/interface.py
@@ -34,6 +34,7 @@
     SharedCountRead,
     Status,
     TimerFired,
+    unknown_cell,
 )
 from hazelhollow.decisions.settings import DedupScope, Effect, Plan, RequestClass, Settings
 
@@ -72,4 +73,5 @@
     "SubscribeToEndpoints",
     "TimerFired",
     "WriteLog",
+    "unknown_cell",
 ]
--- a/hazelhollow/net/endpoint_list.py
+++ b/hazelhollow/net/endpoint_list.py
@@ -111,11 +111,12 @@
 
 
 def _parse_entry(raw: Any) -> api.EndpointEntry:
+    name, group = str(raw["name"]), raw.get("group")
     return api.EndpointEntry(
-        name=str(raw["name"]),
+        name=name,
         state=_STATES[raw["status"]],
         zone=str(raw.get("zone", "")),
-        cell=int(raw.get("group", 0)),
+        cell=api.unknown_cell(name) if group is None else int(group),
         weight=float(raw.get("weight", 1.0)),
         started=float(raw.get("since_ms", 0)) / 1000.0,
     )
--- a/hazelhollow/simulator/wire.py
+++ b/hazelhollow/simulator/wire.py
@@ -102,7 +102,7 @@
             name=item.text("server"),
             state=item.one_of("stage_state", _ENDPOINT_STATES),
             zone=item.text("zone", ""),
-            cell=item.integer("cluster", 0),
+            cell=item.integer("cluster", events.unknown_cell(item.text("server"))),
             weight=item.number("weight", 1.0),
             started=item.number("up_since", 0.0),
         )
--- a/tests/net/test_missing_keys.py
+++ b/tests/net/test_missing_keys.py
@@ -15,6 +15,8 @@
 from hazelhollow.net.settings_reload import SettingsReload
 from hazelhollow.net.stats import Stats
 from hazelhollow.platform_config import PlatformConfigError
+from tests.net.scenario import HEAD, Stage
+from tests.net.test_scenarios import DO, GET
 from tests.net.test_settings_reload import document as example
 
 Path_ = tuple[str | int, ...]
@@ -200,3 +202,28 @@
     assert find_missing_keys(before, {"grades": [READ, {"name": "order"}]}) == [
         f"grades[order].{key}" for key in ORDER if key not in OPTIONAL_KEYS | {"name"}
     ]
+
+
+@pytest.mark.parametrize(("group_key", "same_endpoint"), [("group", False), ("absent", True)])
+def test_keyed_request_is_repeated_in_a_known_cell_only(
+    group_key: str, same_endpoint: bool
+) -> None:
+    """Guards against a common cell for list entries without `group`: a request would run twice.
+
+    Then only the endpoint itself is known to drop the repeat.
+    """
+    stage = Stage(hosts=2)
+    table = stage.table("whole", 2, "s1:in_service", "s2:in_service")
+    for entry in table["endpoints"]:
+        entry[group_key] = entry.pop("group")
+    stage.play(f"disco expect {GET}")
+    body = json.dumps(table)
+    stage._end("disco").sendall((HEAD % (len(body), body)).encode())
+    stage.settle()
+    stage.play(f"a send {DO.format(1)}")
+    (connection,) = stage.service.pool._connections
+    first = connection.endpoint.name
+    stage.play(f"{first} expect {DO.format(1)}\n{first} close")
+    (connection,) = stage.service.pool._connections
+    assert stage.service.stats.attempts == 2
+    assert (connection.endpoint.name == first) is same_endpoint
