Execute the commands that arrived before a shutdown stops reading

Cause: one condition stopped both the acceptance of commands and the execution of those that waited in the reader's buffer; the session ended once its commands in progress were answered, and the buffer was discarded.

It is not throttled from then on, since its input is bounded. Waiting time is deducted from the deadline as before.

The same cause on related paths, in the same place: commands that wait in the socket while the session does not read, and the rest of a batch on a connection accepted at the close.

--- a/hazelhollow/net/command_reader.py
+++ b/hazelhollow/net/command_reader.py
@@ -102,12 +102,13 @@
 
     def discard(self) -> None:
         """Drops the bytes read so far, after the connection has ended."""
+        self._frontend.stats.unexecuted_bytes += self.held_bytes()
         self._parser = resp.Parser()
 
     def _read_commands(self, session: Session) -> None:
         limit = session.unserved_command_limit
         for _ in range(MAX_COMMANDS_PER_TURN):
-            if len(session.slots) >= MAX_PIPELINED or limit.tokens < 0.0:
+            if len(session.slots) >= MAX_PIPELINED or limit.is_exhausted():
                 break
             value = self._parser.next()
             if isinstance(value, resp.NeedMoreData):
--- a/hazelhollow/net/graceful_shutdown.py
+++ b/hazelhollow/net/graceful_shutdown.py
@@ -7,7 +7,7 @@
 | SERVING | start | accepted | read | served | the signal arrives |
 | ANNOUNCED | 0.0 | accepted | read | served | 0.5 s have passed |
 | DRAINING | 0.5 | accepted | read until the connection has no open request | served | 0.7 s |
-| CLOSING | 0.7 | refused | not read | served until their deadline | all connections are closed |
+| CLOSING | 0.7 | refused | read if already here | served until their deadline | all are closed |
 | STOPPED | step 5 | refused | not read | none | |
 
 The steps for a request that is in flight when SIGTERM arrives:
@@ -22,8 +22,9 @@
    answered. Its client reads its answers and then the end of the stream. A client that has just
    connected has 0.25 s for its first command (`session.FIRST_COMMAND_GRACE_S`).
 3. CLOSING, from 0.7 s: the listening socket is closed. Connections in its accept queue, which the
-   close would reset, are accepted first and have 0.25 s for a first command. No further commands
-   are read from open connections. Requests in flight continue, with their attempts, retries and
+   close would reset, are accepted first and have 0.25 s for a first command. Open connections
+   execute the commands that have arrived by now, read or not (`final_input`), and no others.
+   Requests in flight continue, with their attempts, retries and
    deadlines unchanged.
 4. Each request ends with its answer, at the latest at its own deadline, when its attempts are
    aborted and the engine or `engine_driver` answers it. When a connection is finished, its sending
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -3,7 +3,7 @@
 | state | fields | reads commands | left by |
 | --- | --- | --- | --- |
 | OPEN | | yes | `finish`: FINISHING. Malformed bytes: REJECTED. Client closes: CLOSED |
-| FINISHING | `finishing` | while `accepting_commands` | nothing is outstanding: LINGERING |
+| FINISHING | `finishing`, `_final_input` | those that arrived in time | none is left: LINGERING |
 | REJECTED | `reader.stopped` | no | the error after the last answer was sent: LINGERING |
 | LINGERING | `_linger_reason` | no: dropped | the client closes, 1 s or 1 MiB pass: CLOSED |
 | CLOSED | the stream's close reason | no | |
@@ -25,6 +25,7 @@
 from hazelhollow.net.answer_slot import AnswerSlot
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.command_reader import MAX_PIPELINED, CommandReader
+from hazelhollow.net.final_input import FinalInput
 from hazelhollow.net.scheduler import PEER_CLOSED, READABLE, SOCKET_ERROR, TIMED_OUT, WOKEN
 from hazelhollow.net.unserved_command_limit import UnservedCommandLimit
 
@@ -58,7 +59,7 @@
         unserved_command_limit: Throttles the connection if too many of its commands are not served.
         idle_since: When the last answer was written.
         finishing: Whether the session is to be closed as soon as it is between requests.
-        accepting_commands: While `finishing`: whether commands are still read until then.
+        accepting_commands: While `finishing`: whether new commands are still accepted until then.
     """
 
     def __init__(self, frontend: Frontend, connection: stream.Stream) -> None:
@@ -73,6 +74,7 @@
         self._send_progress = (0, 0.0)  # bytes sent, and since when this number has not grown
         self.finishing = False
         self.accepting_commands = True
+        self._final_input: FinalInput | None = None  # once commands are no longer accepted
         self._linger_reason: CloseReason | None = None  # why the sending side was closed
 
     def run(self) -> None:
@@ -130,7 +132,8 @@
     def finish(self, accepting_commands: bool = True) -> None:
         """Closes the session between requests: now, or after the last outstanding answer.
 
-        `accepting_commands`: whether commands are still read until then.
+        `accepting_commands`: whether new commands are accepted until then. Commands that have
+        arrived before are executed in any case.
         """
         if not self.finishing and not self.reader.had_first_command:
             # the client has just been accepted, and its first command may be in transit
@@ -200,8 +203,6 @@
         return not self.slots and not self._stream.send_buffer
 
     def _accepts_commands(self) -> bool:
-        if self.reader.stopped:
-            return False
         return self.accepting_commands or self._awaits_first_command()
 
     # Answers and commands
@@ -234,6 +235,7 @@
         while connection.close_reason is None and not self._linger_reason:
             if self.reader.stopped or self.finishing:
                 connection.flush()
+                self._stop_accepting_if_due()
                 reason = self._reason_if_finished()
                 if reason:
                     return reason
@@ -246,24 +248,64 @@
             if bits == TIMED_OUT:
                 self.unserved_command_limit.refill()
                 self.reader.feed(self, b"")
+                if self._final_input:
+                    self._read_final_input(self._final_input)
             elif bits != WOKEN and bits & (PEER_CLOSED | SOCKET_ERROR):
                 return CloseReason.CLOSED if bits & PEER_CLOSED else CloseReason.RESET
             elif bits != WOKEN and bits & READABLE:
-                data = connection.read(min(READ_CHUNK_BYTES, self.reader.room()))
-                if isinstance(data, CloseReason):
-                    return data
-                if data and not self.reader.stopped:
-                    self.reader.arrived_since = self._frontend.scheduler.arrived_since
-                    self.reader.feed(self, data)
+                result = self._read()
+                if isinstance(result, CloseReason):
+                    return result
         return connection.close_reason or CloseReason.SHUTDOWN
 
+    def _read(self) -> int | CloseReason:
+        """Reads and executes commands; returns the number of bytes, or why the connection ended."""
+        data = self._stream.read(min(READ_CHUNK_BYTES, self.reader.room()))
+        if isinstance(data, CloseReason):
+            return data
+        arrived_since = self._frontend.scheduler.arrived_since
+        if self._final_input:
+            self._final_input.remaining_bytes -= len(data or b"")
+            arrived_since = min(arrived_since, self._final_input.arrived_by)
+        if data and not self.reader.stopped:
+            self.reader.arrived_since = arrived_since
+            self.reader.feed(self, data)
+        return len(data or b"")
+
+    def _stop_accepting_if_due(self) -> None:
+        """Reads the commands that are still executed, once no more are accepted.
+
+        Guards against commands that are dropped with the reader's buffer: a session that has
+        several in progress, or is throttled, has not executed all that it has read.
+        """
+        if self._final_input or self.reader.stopped or self._accepts_commands():
+            return
+        self._final_input = FinalInput(self._frontend.scheduler.clock())
+        self.unserved_command_limit.lift()
+        self._read_final_input(self._final_input)
+
+    def _read_final_input(self, final_input: FinalInput) -> None:
+        """Reads as much of the final input as the buffer has room for."""
+        while final_input.remaining_bytes > 0 and self.reader.room() > 0:
+            read = self._read()
+            if isinstance(read, CloseReason) or not read:
+                final_input.remaining_bytes = 0
+
+    def _has_executed_all(self) -> bool:
+        """Whether no command is left to execute; the rest of an incomplete one is not read."""
+        return (
+            self._final_input is not None
+            and self._final_input.remaining_bytes <= 0
+            and not self.reader.has_more
+        )
+
     def _reason_if_finished(self) -> CloseReason | None:
         """Returns the close reason if FINISHING or REJECTED is over, else None."""
         if self.reader.stopped and self._has_sent_all_answers():
             return CloseReason.MALFORMED
         if self.finishing and (
             self.is_between_requests()
-            or (not self._accepts_commands() and self._has_sent_all_answers())
+            or (self._has_executed_all() and self._has_sent_all_answers())
         ):
             return CloseReason.SHUTDOWN
         return None
@@ -271,13 +313,13 @@
     def _next_wait(self) -> tuple[float | None, int]:
         """Returns when to continue with bytes already read, and the poll events to wait for."""
         if (
-            not self._accepts_commands()
+            self.reader.stopped
             or len(self.slots) >= MAX_PIPELINED
             or not self._stream.has_room(MAX_UNSENT_BYTES // 2)
         ):
             return None, 0
-        if self.unserved_command_limit.tokens < 0.0:
+        if self.unserved_command_limit.is_exhausted():
             return self.unserved_command_limit.available_at(), 0
-        if self.reader.has_more:
+        if self.reader.has_more or (self._final_input and self._final_input.remaining_bytes > 0):
             return self._frontend.scheduler.clock(), 0  # next turn, after other connections
-        return None, READABLE
+        return None, READABLE if self._final_input is None and self._accepts_commands() else 0
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -24,6 +24,7 @@
         self.commands = 0
         self.malformed = 0  # connections that violated the protocol
         self.bad = 0  # requests that the settings do not allow
+        self.unexecuted_bytes = 0  # read, but not executed when the limiter closed the connection
         self.relieved = 0  # connections closed because all clients together held too much memory
         # Requests
         self.requests = 0
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 
 import pytest
 
 from hazelhollow.net.graceful_shutdown import STOP_ACCEPTING_AFTER_S
 from hazelhollow.net.session import LINGER_S
 from tests.net.scenario import BUY, LOOK, Stage
-from tests.net.test_connection_ends import block_connects, read_until_closed
+from tests.net.test_connection_ends import block_connects, never_decide, read_until_closed
 from tests.net.test_scenarios import DO, GET, VALUE, ask
 
 
@@ -152,3 +153,78 @@
     stage._end("a").sendall(command[40:])
     assert read_until_closed(stage, stage._end("a")) == b"+OK\r\n"
     assert not stage.service.stats.requests
+
+
+def count_answers(stage: Stage, end: socket.socket) -> int:
+    """Reads answers of one line up to the orderly end of the connection, for the longest time."""
+    got = b""
+    for _ in range(100):
+        stage.play("wait 0.05")
+        with suppress(BlockingIOError):
+            data = end.recv(1 << 20)
+            if not data:
+                return got.count(b"\r\n")
+            got += data
+    raise AssertionError(f"the connection was not closed after {len(got)} bytes")
+
+
+@pytest.mark.parametrize("count", [64, 65, 120, 260, 1500, 4000])
+@pytest.mark.parametrize("sent_at", [0.0, 0.4])
+def test_commands_that_arrived_before_the_close_are_all_answered(
+    count: int, sent_at: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against commands that are dropped with a session's buffer, or left in its socket.
+
+    At 0.7 s only 64 of them are in progress, and those that were read but not executed got no
+    answer; 1,500 are more than the session reads at once, and 4,000 more than its buffer holds.
+    """
+    stage = Stage(hosts=1)
+    never_decide(monkeypatch, stage)
+    client = stage._end("a")
+    stage.service.shutdown.begin()
+    stage.play(f"wait {sent_at}")
+    client.sendall(b"".join(stage.bytes_of(ask(number)) for number in range(count)))
+    assert count_answers(stage, client) == count
+    assert stage.service.stats.unexecuted_bytes == 0
+    stage.play("a close\nwait 0.1")
+    assert has_stopped(stage)
+
+
+def test_throttled_commands_that_arrived_before_the_close_are_answered() -> None:
+    """Guards against commands of a throttled connection that are dropped by a planned restart."""
+    stage = Stage(hosts=1)
+    client = stage._end("a")
+    client.sendall(stage.bytes_of("[SELECT 0]") * 900)  # of which 200 are answered at once
+    stage.service.shutdown.begin()
+    assert count_answers(stage, client) == 900
+
+
+def test_batch_of_a_client_in_the_accept_queue_at_the_close_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a connection that is read up to its first command only, and then closed."""
+    stage = Stage(hosts=1)
+    never_decide(monkeypatch, stage)
+    stage.service.shutdown.begin()
+    stage.play(f"wait {STOP_ACCEPTING_AFTER_S - 0.05}")
+    client = socket.create_connection(stage.service.frontend.address)
+    client.setblocking(False)
+    client.sendall(b"".join(stage.bytes_of(ask(number)) for number in range(300)))
+    with client:
+        assert count_answers(stage, client) == 300
+
+
+def test_commands_that_arrive_after_the_close_are_not_executed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a client that keeps a limiter alive by sending on its open connection."""
+    stage = Stage(hosts=1)
+    never_decide(monkeypatch, stage)
+    client = stage._end("a")
+    client.sendall(b"".join(stage.bytes_of(ask(number)) for number in range(100)))
+    stage.service.shutdown.begin()
+    stage.play(f"wait {STOP_ACCEPTING_AFTER_S + 0.05}")
+    client.sendall(b"".join(stage.bytes_of(ask(number)) for number in range(100, 200)))
+    assert count_answers(stage, client) == 100
+    stage.play("a close\nwait 0.1")
+    assert has_stopped(stage)
