Give each account of the shared store a slot of its own

What was seen: under adversarial limiters a quota fell to -8.3 units (bound -0.1).

Cause: the store records leases by limiter and incarnation. An account that was closed (idle, or beyond MAX_ACCOUNTS) with unreported spending left its lease to the customer's next account, which reported 0 units spent, so that the store took the spent units for returned ones.

Fix: an account opened after a close has another slot. The old lease ends, and its units count as spent, as after a restart of the limiter.

--- a/hazelhollow/shared_store/lease_ledger.py
+++ b/hazelhollow/shared_store/lease_ledger.py
@@ -80,7 +80,8 @@
         self, settings: api.Settings, store_settings: StoreSettings, incarnation: str, now: float
     ) -> None:
         self.settings, self.store_settings = settings, store_settings
-        self.slot = f"{settings.limiter_id}.{incarnation}"  # identifies the holder of a lease
+        self.slot = f"{settings.limiter_id}.{incarnation}"  # identifies this process
+        self._closed_accounts = 0
         self.plans = {plan.name: plan for plan in settings.plans if self._is_leased(plan)}
         self.accounts: dict[str, LeasedAccount] = {}  # by key; least recently used first
         self._with_leases: dict[str, LeasedAccount] = {}  # accounts that may hold leased units
@@ -115,12 +116,27 @@
             account = open_leased_account(key, plan, request, self._terms, now)
             if account is None:
                 return None
+            account.slot = self._new_slot()
             if len(self.accounts) >= MAX_ACCOUNTS:
-                del self.accounts[next(iter(self.accounts))]
+                self._close(next(iter(self.accounts.values())))
         self.accounts[key] = account
         self._refresh(account, now)
         return account
 
+    def _new_slot(self) -> str:
+        """Returns the identifier under which a new account holds its leases.
+
+        It differs from that of every closed account. Guards against units that are given away
+        twice: a customer's next account reports no spending, and the store would take the units
+        that the closed one had spent unreported for units that are returned. Under its own
+        identifier the closed account's lease simply ends, and its units count as spent.
+        """
+        return f"{self.slot}.{self._closed_accounts}" if self._closed_accounts else self.slot
+
+    def _close(self, account: LeasedAccount) -> None:
+        del self.accounts[account.key]
+        self._closed_accounts += 1
+
     def record(self, account: LeasedAccount, units: float, sent: bool, now: float) -> None:
         """Records the outcome of the request for which `account_for` was called.
 
@@ -181,7 +197,7 @@
         self.sequence += 1
         presence = self.presence
         caller = LeaseCaller(
-            slot=self.slot,
+            slot=account.slot,
             sequence=self.sequence,
             now=now,
             deadline=presence.call_deadline(now),
@@ -255,7 +271,7 @@
             oldest = next(iter(self.accounts.values()))
             if now - oldest.last_used_at <= ACCOUNT_IDLE_TIMEOUT_S or oldest.call:
                 break
-            del self.accounts[oldest.key]
+            self._close(oldest)
 
     # The connection to the store
 
--- a/hazelhollow/shared_store/leased_account.py
+++ b/hazelhollow/shared_store/leased_account.py
@@ -42,7 +42,8 @@
 class LeasedAccount:
     """One customer's pools (quota, ceiling or both, in this order) and statistics of its usage.
 
-    `limiters` are the numbers of the limiters that receive the customer's requests.
+    `limiters` are the numbers of the limiters that receive the customer's requests. `slot`
+    identifies the account as the holder of its leases.
     """
 
     key: str
@@ -58,6 +59,7 @@
     # No lease call before this time: the pool has no units until then, or a call failed.
     next_lease_at: float = 0.0
     call: ScriptCall | None = None  # the pending call
+    slot: str = ""
     isolation: int = 0  # number of the isolation period that the pools' fallbacks belong to
 
     def record_demand(self, units: float, sent: bool, now: float) -> None:
--- a/hazelhollow/shared_store/scripts.py
+++ b/hazelhollow/shared_store/scripts.py
@@ -87,7 +87,7 @@
     the customer's set that are present.
     """
 
-    slot: str  # the limiter's number and incarnation
+    slot: str  # the limiter's number and incarnation, and which of its accounts
     sequence: int
     now: float
     deadline: str
--- a/tests/shared_store/test_store_faults.py
+++ b/tests/shared_store/test_store_faults.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from hazelhollow.decisions import interface as api
+from hazelhollow.shared_store import lease_ledger
 from hazelhollow.shared_store.lease_ledger import LeaseLedger
 from hazelhollow.shared_store.leased_account import ScriptCall
 from tests.shared_store.ledger_fleet import (
@@ -155,6 +156,24 @@
     assert fleet.quota.lowest >= -0.1 and fleet.ceiling.lowest >= -0.1
 
 
+def test_units_of_an_evicted_account_are_not_leased_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a customer's next account that claims the lease of its closed predecessor.
+
+    There are too many customers, so the account is closed before its spending is reported. The new
+    one reports none, and the store took the spent units for returned ones.
+    """
+    monkeypatch.setattr(lease_ledger, "MAX_ACCOUNTS", 1)
+    fleet = settled()
+    hold(fleet, 0, 30.0)
+    while fleet.ask(0):
+        fleet.calls(0)  # lost on the way
+    other = api.RequestArrived("r", "look", "gold", "other", 1.0, 1.0, 0, 3)
+    assert fleet.ledgers[0].account_for(other, fleet.now)
+    assert list(fleet.ledgers[0].accounts) == ["other/gold"]
+    spend_all(fleet, hold(fleet, 0, 80.0))
+    assert fleet.quota.lowest >= -0.1 and fleet.ceiling.lowest >= -0.1
+
+
 class Adversary:
     """Three limiters that follow the protocol but otherwise try to exceed the limits.
 
