Keep an idle account until its base has refilled

A plan whose burst lasts over 30 s at its rate could spend its base twice. Not seen at an operator.

The test failed before (the account was closed) and passes now. Beyond MAX_ACCOUNTS the least recently used account is still closed at any level.

--- a/hazelhollow/shared_store/lease_ledger.py
+++ b/hazelhollow/shared_store/lease_ledger.py
@@ -49,6 +49,7 @@
 RETURN_BEFORE_END_S = 0.1  # time before a lease's end at which its unspent units are returned
 RETURN_SHARE = 0.1  # share of the pool's burst; fewer units on lease are not worth a call
 ACCOUNT_IDLE_TIMEOUT_S = 30.0  # time without a request after which an account is closed
+MAX_CLOSING_CHECKS = 16  # accounts examined for this in one call of `tick`
 MAX_ACCOUNTS = 50_000  # beyond this number the account that has been idle longest is closed
 # Counter names that are shown to operators; docs/operators/redis-store.md documents them. `late`
 # counts both calls that ran after their deadline and answers to calls that had timed out.
@@ -267,11 +268,19 @@
         self._lease(account, nothing, nothing, 0.0, now)
 
     def _close_idle_accounts(self, now: float) -> None:
-        while self.accounts:
+        """Closes accounts that were not used lately and that a new one would equal.
+
+        A new account's base is full, so one that has not refilled yet is kept: the customer could
+        otherwise spend its base twice. It goes to the end of the table until it is due again.
+        """
+        for _ in range(min(len(self.accounts), MAX_CLOSING_CHECKS)):
             oldest = next(iter(self.accounts.values()))
             if now - oldest.last_used_at <= ACCOUNT_IDLE_TIMEOUT_S or oldest.call:
                 break
-            self._close(oldest)
+            if oldest.has_full_base(now):
+                self._close(oldest)
+            else:
+                self.accounts[oldest.key] = self.accounts.pop(oldest.key)
 
     # The connection to the store
 
--- a/hazelhollow/shared_store/leased_account.py
+++ b/hazelhollow/shared_store/leased_account.py
@@ -77,6 +77,10 @@
             if self.call:
                 self.call.lease_expired = True
 
+    def has_full_base(self, now: float) -> bool:
+        """Whether each pool's base has refilled, as that of a new account has."""
+        return all(pool.base.refill(now) >= pool.base.capacity for pool in self.pools)
+
     def leased(self) -> list[float]:
         """Returns the units on lease in each pool."""
         return [pool.leased for pool in self.pools]
--- a/tests/shared_store/test_lease_ledger.py
+++ b/tests/shared_store/test_lease_ledger.py
@@ -7,8 +7,16 @@
 import pytest
 
 from hazelhollow.decisions import interface as api
+from hazelhollow.shared_store.lease_ledger import ACCOUNT_IDLE_TIMEOUT_S, LeaseLedger
 from hazelhollow.shared_store.leased_account import ScriptCall
-from tests.shared_store.ledger_fleet import STORE_SETTINGS, LedgerFleet, hold, spend_burst
+from tests.net.scenario import BUY, LOOK, START
+from tests.shared_store.ledger_fleet import (
+    STORE_SETTINGS,
+    LedgerFleet,
+    hold,
+    spend_burst,
+    store_settings,
+)
 
 
 def test_burst_through_one_limiter_exceeds_its_even_share() -> None:
@@ -227,3 +235,20 @@
 def test_settings_are_frozen() -> None:
     with pytest.raises(AttributeError):
         STORE_SETTINGS.prefix = "x"  # type: ignore[misc]
+
+
+def test_idle_account_is_kept_until_its_base_has_refilled() -> None:
+    """Guards against a base that is spent twice: a new account starts with a full one."""
+    slow = api.Plan("slow", rate=0.1, burst=40.0)
+    engine_settings = api.Settings(0, 3, (LOOK, BUY), (slow,), max_units=4.0)
+    settings = store_settings('plans: ["slow"], hold: "quotas"')
+    ledger, now = LeaseLedger(engine_settings, settings, "l0", START), START
+    request = api.RequestArrived("r", "look", "slow", "c", 1.0, 1.0, 0, 3)
+    account = ledger.account_for(request, now)
+    assert account
+    while account.pools[0].available() >= 1.0:
+        ledger.record(account, 1.0, True, now)
+    ledger.tick(now + 2 * ACCOUNT_IDLE_TIMEOUT_S)
+    assert list(ledger.accounts.values()) == [account]
+    ledger.tick(now + 1000.0)
+    assert not ledger.accounts
