Restart a command's timeout while the session itself does not read

The same cause on a related path: a session that does not read (its client reads slowly, 64 commands in progress, throttled) still counted the two seconds for the rest of a half-read command, told the client that its command was incomplete, and dropped it.

--- a/hazelhollow/net/command_reader.py
+++ b/hazelhollow/net/command_reader.py
@@ -83,6 +83,11 @@
         """Whether no part of a next command has arrived."""
         return self._parser.idle()
 
+    def restart_timeout(self, now: float) -> None:
+        """Restarts the time for the rest of a command: so far the session has not read it."""
+        if self.awaiting_since is not None:
+            self.awaiting_since = now
+
     def feed(self, session: Session, data: bytes) -> None:
         """Takes received bytes, or none to continue with buffered ones, and executes commands."""
         try:
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -75,6 +75,7 @@
         self.finishing = False
         self.accepting_commands = True
         self._final_input: FinalInput | None = None  # once commands are no longer accepted
+        self._is_reading = True
         self._linger_reason: CloseReason | None = None  # why the sending side was closed
 
     def run(self) -> None:
@@ -156,6 +157,8 @@
                 return CloseReason.STALLED
         if self.reader.stopped:
             return None  # each outstanding answer has a deadline of its own
+        if not self._is_reading:
+            self.reader.restart_timeout(now)
         awaiting_since = self.reader.awaiting_since
         if awaiting_since is not None and now - awaiting_since >= COMMAND_TIMEOUT_S:
             if self.is_between_requests():
@@ -240,6 +243,7 @@
                 if reason:
                     return reason
             until, events = self._next_wait()
+            self._is_reading = bool(events & READABLE)
             # PEER_CLOSED reports a disconnection also while nothing is read or bytes are unread.
             bits = connection.wait(until, events | PEER_CLOSED)
             self.write_answers()
--- a/tests/net/test_unsent_answers.py
+++ b/tests/net/test_unsent_answers.py
@@ -79,6 +79,29 @@
     stage.play("a expect +PONG")
 
 
+def test_command_whose_rest_is_not_read_here_does_not_time_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a client that is told to be too slow while the session does not read.
+
+    The client does not read its answers for three seconds, and has sent a whole command meanwhile.
+    """
+    stage, client, session = stage_with_requests(4)
+    last = stage.bytes_of("[PING]")
+    client.sendall(last[:5])
+    stage.settle()
+    monkeypatch.setattr(Stream, "flush", lambda stream: None)  # the system takes no bytes
+    for slot in list(session.slots):
+        slot.send_value(VALUE)
+    client.sendall(last[5:8])  # after these bytes the session stops reading
+    stage.settle()
+    client.sendall(last[8:])
+    stage.play("wait 3.0")
+    monkeypatch.undo()
+    assert received_bytes(stage, client) == 4 * ANSWER_BYTES + len(b"+PONG\r\n")
+    assert not stage.service.stats.malformed
+
+
 def test_answer_larger_than_the_send_buffer_is_sent_in_pieces() -> None:
     """Guards against an answer that waits for more room than there can be: INFO with many classes.
 
