Size the send buffer to an endpoint for the largest request

A bound beside the largest legal value, as with the answers: the strings of a request may sum up to 72 KiB, its headers come on top, and the buffer held 72 KiB. Such a request was accepted, never sent, and its client got no value. The review had it from reading only.

--- a/hazelhollow/net/connection_pool.py
+++ b/hazelhollow/net/connection_pool.py
@@ -19,7 +19,8 @@
 from hazelhollow.net.scheduler import WOKEN, Scheduler
 from hazelhollow.net.stats import Stats
 
-MAX_UNSENT_BYTES = resp.MAX_STRING_BYTES + 8 * 1024  # per connection: one request
+REQUEST_HEADER_BYTES = 64  # at least the RESP headers of an array of five strings
+MAX_UNSENT_BYTES = resp.MAX_VALUE_BYTES + REQUEST_HEADER_BYTES  # per connection: one request
 # Fraction of the endpoint's own idle timeout after which a connection is not reused: near that
 # timeout the endpoint might close it while a request is in transit.
 IDLE_TIMEOUT_SHARE = 0.5
--- a/tests/net/test_unsent_answers.py
+++ b/tests/net/test_send_buffers.py
@@ -1,4 +1,4 @@
-"""Answers that wait for room in a session's send buffer, and who wakes the session when there is.
+"""Room in send buffers: for answers that wait for it, and for the largest request.
 
 The operating system may take a full send buffer in one call. No poll event follows, so a session
 that waits for room can only be woken by the call that sent the bytes.
@@ -7,14 +7,17 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 
 import pytest
 
+from hazelhollow.net import resp
 from hazelhollow.net.scheduler import WOKEN, Scheduler
 from hazelhollow.net.session import MAX_UNSENT_BYTES, Session
 from hazelhollow.net.stream import Stream
 from tests.net.scenario import Stage
-from tests.net.test_scenarios import ask
+from tests.net.test_scenarios import DO, ask
+from tests.net.test_scenarios import VALUE as ANSWER
 
 SOCKET_BUFFER_BYTES = 1 << 20  # so that the system takes a full send buffer in one call
 VALUE = b"v" * 45_000  # six of these answers do not fit into the send buffer
@@ -117,6 +120,29 @@
     assert received_bytes(stage, stage._end("a")) == len(answer % (len(expected), expected))
 
 
+@pytest.mark.parametrize("spare_bytes", [100, 43, 1, 0])
+def test_largest_request_fits_the_send_buffer_to_an_endpoint(spare_bytes: int) -> None:
+    """Guards against a request that is accepted and fits no send buffer: the headers count too.
+
+    Its connection was never freed, and the client got an error at the deadline.
+    """
+    stage = Stage(hosts=1)
+    words = stage.bytes_of(DO.format(1)).split(b"\r\n")[2::2]
+    words[-1] = b"B" * resp.MAX_STRING_BYTES
+    used = sum(map(len, words))
+    words[3] += b",x=" + b"y" * (resp.MAX_VALUE_BYTES - used - len(",x=") - spare_bytes)
+    client = stage._end("a")
+    client.sendall(resp.encode_command(words))
+    stage.settle()
+    expected, endpoint, received = len(resp.encode_command(words)), stage._end("s1"), 0
+    for _ in range(300):
+        stage.settle(1)
+        with suppress(BlockingIOError):
+            received += len(endpoint.recv(1 << 20))
+    assert received == expected
+    stage.play(f"s1 send {ANSWER}\na expect $2\\r\\nhi")
+
+
 @pytest.mark.parametrize("refused_in", ["the task", "another task"])
 @pytest.mark.parametrize("flushed_by", ["end of turn", "direct call"])
 def test_task_that_was_refused_room_is_woken_by_any_flush(refused_in: str, flushed_by: str) -> None:
