Change the override file's content, not the set read earlier

Cause: each process wrote the whole set as it had last read it, up to 0.25 s earlier.

Fix: a call reads the file under a lock, adds its change and writes it. The lock is given up after some 20 ms, so that a stopped process delays no answer.

Tests: the two new ones failed before ({'s3'} in place of {'s1', 's3'}) and pass now.

--- a/hazelhollow/net/administrative_overrides.py
+++ b/hazelhollow/net/administrative_overrides.py
@@ -48,21 +48,25 @@
     def poll_file(self) -> None:
         """Applies the file if it has changed, now and then every FILE_POLL_INTERVAL_S."""
         self._scheduler.at(self._scheduler.clock() + FILE_POLL_INTERVAL_S, self.poll_file)
-        found = self._file.read()
+        found = self._file.read_if_changed()
         if found is not None and found != self.disabled:
             self._replace(found)
 
-    def replace(self, disabled: set[str]) -> None:
-        """Replaces the set of disabled endpoints and writes it to the file."""
-        self._replace(disabled)
-        self._file.write(self.disabled)
-
     def apply(self, changes: dict[str, bool]) -> None:
-        """Applies overrides made here or at a peer, by endpoint name: whether it is disabled."""
-        unchanged = {name for name in self.disabled if name not in changes}
-        disabled = unchanged | {name for name, is_disabled in changes.items() if is_disabled}
+        """Applies overrides made here or at a peer, by endpoint name: whether it is disabled.
+
+        They are added to those in the file. Guards against an override that is lost in an upgrade:
+        the other process may have written one that this process has not read yet.
+        """
+        with self._file.exclusive():
+            in_file = self._file.read()
+            before = self.disabled if in_file is None else in_file
+            unchanged = {name for name in before if name not in changes}
+            disabled = unchanged | {name for name, is_disabled in changes.items() if is_disabled}
+            if disabled != in_file:
+                self._file.write(disabled)
         if disabled != self.disabled:
-            self.replace(disabled)
+            self._replace(disabled)
 
     def _replace(self, disabled: set[str]) -> None:
         for name in sorted(disabled - self.disabled):
--- a/hazelhollow/net/operator_console.py
+++ b/hazelhollow/net/operator_console.py
@@ -78,12 +78,10 @@
         The call is idempotent.
         """
         service = self._service
-        disabled_before = service.overrides.disabled
-        if name not in service.endpoint_list.ever_listed and name not in disabled_before:
+        is_known = name in service.endpoint_list.ever_listed or name in service.overrides.disabled
+        if not is_known:
             return f"no server '{name}' has been listed"
-        service.overrides.replace(
-            disabled_before | {name} if disabled else disabled_before - {name}
-        )
+        service.overrides.apply({name: disabled})
         if service.attachment:
             service.attachment.override_set(name, disabled)
         return None
--- a/hazelhollow/net/override_file.py
+++ b/hazelhollow/net/override_file.py
@@ -6,19 +6,29 @@
 another format or version changes nothing: the limiter logs the problem once and keeps its current
 overrides.
 
+Two processes may change it at the same time. Each change is therefore made to the content of the
+file, and not to what this process read last, while the process holds a lock (`exclusive`).
+
 The format is `{"format": "hazelhollow-bans", "version": 1, "down": [NAME, ...]}`.
 """
 
 from __future__ import annotations
 
+import fcntl
 import logging
 import os
 import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 import orjson
 
 FORMAT, VERSION = "hazelhollow-bans", 1
+# Another process holds the lock for one write, unless it is stopped. A call must not wait for that.
+LOCK_ATTEMPTS = 10
+LOCK_RETRY_S = 0.002
 
 log = logging.getLogger(__name__)
 
@@ -38,21 +48,42 @@
 
     def __init__(self, path: Path) -> None:
         self.path = path
-        # size and mtime of the file last read or written
-        self._last_signature: tuple[int, int] | None = None
+        # inode, size and mtime of the file last read or written
+        self._last_signature: tuple[int, int, int] | None = None
         self._last_problem = ""
 
-    def read(self) -> set[str] | None:
+    @contextmanager
+    def exclusive(self) -> Iterator[None]:
+        """Keeps other processes from changing the file; gives up waiting after some 20 ms."""
+        try:
+            lock = os.open(self.path.with_name(f"{self.path.name}.lock"), os.O_CREAT | os.O_RDWR)
+        except OSError:
+            yield  # `write` logs that the folder cannot be written
+            return
+        try:
+            for _ in range(LOCK_ATTEMPTS):
+                with suppress(OSError):
+                    fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    break
+                time.sleep(LOCK_RETRY_S)
+            yield
+        finally:
+            os.close(lock)
+
+    def read_if_changed(self) -> set[str] | None:
         """Returns the names if the file has changed since it was last read or written here.
 
         Returns None if it is unchanged, absent or unusable.
         """
-        try:
-            status = self.path.stat()
-            signature = (status.st_size, status.st_mtime_ns)
-            if signature == self._last_signature:
+        with suppress(OSError):
+            if self._signature() == self._last_signature:
                 return None
-            self._last_signature = signature
+        return self.read()
+
+    def read(self) -> set[str] | None:
+        """Returns the names in the file; None if it is absent or unusable."""
+        try:
+            self._last_signature = self._signature()
             document = orjson.loads(self.path.read_bytes())
         except FileNotFoundError:
             return None
@@ -76,8 +107,7 @@
         try:
             temporary.write_bytes(orjson.dumps(document))
             os.replace(temporary, self.path)
-            status = self.path.stat()
-            self._last_signature = (status.st_size, status.st_mtime_ns)
+            self._last_signature = self._signature()
         except OSError as error:
             log.error(
                 "override file %s cannot be written; the overrides hold in this process only: %s",
@@ -85,6 +115,10 @@
                 error,
             )
 
+    def _signature(self) -> tuple[int, int, int]:
+        status = self.path.stat()
+        return status.st_ino, status.st_size, status.st_mtime_ns
+
     def _reject(self, problem: str) -> set[str] | None:
         if problem != self._last_problem:
             log.warning("bans: %s %s; it is not taken", self.path, problem)
--- a/tests/net/test_administrative_overrides.py
+++ b/tests/net/test_administrative_overrides.py
@@ -82,7 +82,7 @@
     call(first, b"set-down s1\n")
     second = Stage(hosts=1)
     assert second.service.engine.table.disabled == {"s1"}
-    second.service.overrides.replace(set())
+    second.service.overrides.apply({"s1": False})
     first.now += 1.0
     first.settle()
     assert (
@@ -90,6 +90,32 @@
     )  # The endpoint that the other process enabled is enabled in this one too.
 
 
+def test_calls_at_both_processes_of_an_upgrade_are_all_kept() -> None:
+    """Guards against overrides that are lost in an upgrade.
+
+    Each process wrote the set that it had read up to a quarter second earlier, so that servers
+    whose call was answered `done` got new requests for good.
+    """
+    old = operator_stage(hosts=4)
+    new = operator_stage(hosts=4)
+    assert call(old, b"set-down s1\n") == b"done set-down s1\n"
+    assert call(old, b"set-down s2\n") == b"done set-down s2\n"
+    assert call(new, b"set-down s3\n") == b"done set-down s3\n"
+    assert call(new, b"set-up s2\n") == b"done set-up s2\n"
+    for limiter in (old, new):
+        limiter.play("wait 0.5")
+        assert limiter.service.engine.table.disabled == {"s1", "s3"}
+    assert Stage(hosts=4).service.engine.table.disabled == {"s1", "s3"}
+
+
+def test_override_is_written_though_a_stopped_process_holds_the_lock(tmp_path: Path) -> None:
+    """Guards against a call that is never answered: the other process was stopped in its write."""
+    override_file = OverrideFile(path_for("n0", str(tmp_path)))
+    with OverrideFile(override_file.path).exclusive(), override_file.exclusive():
+        override_file.write({"s1"})
+    assert OverrideFile(override_file.path).read() == {"s1"}
+
+
 @pytest.mark.parametrize(
     "text",
     [
--- a/tests/net/test_connection_ends.py
+++ b/tests/net/test_connection_ends.py
@@ -814,5 +814,5 @@
     stage.service.engine_driver.notify(
         stage.service.endpoint_list.apply(stage.table("whole", 7, "s1:in_service", "s2:in_service"))
     )
-    stage.service.overrides.replace({"s1"})
+    stage.service.overrides.apply({"s1": True})
     stage.play(f"s2 expect {ask(1)}")
--- a/tests/net/test_operator_address.py
+++ b/tests/net/test_operator_address.py
@@ -68,8 +68,8 @@
     assert parser.feed(b"set-do") is None and parser.partial()
 
 
-def operator_stage() -> Stage:
-    limiter = Stage(hosts=1, operator=("127.0.0.1", 0))
+def operator_stage(hosts: int = 1) -> Stage:
+    limiter = Stage(hosts=hosts, operator=("127.0.0.1", 0))
     limiter.play("wait 0.6")  # after that it serves from the list of its configuration
     return limiter
 
