Deduct the time that commands wait in the socket of a session that does not read

Now the time since reading stopped counts as waited, until the socket has been empty once.

The test (600 commands at once, 2.5 s each) failed before and passes now; tests/net passes (546). The time in the accept queue is still not deducted.

--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -76,6 +76,8 @@
         self.accepting_commands = True
         self._final_input: FinalInput | None = None  # once commands are no longer accepted
         self._is_reading = True
+        # When the session last stopped reading; None once it has found the socket empty again.
+        self._unread_since: float | None = None
         self._linger_reason: CloseReason | None = None  # why the sending side was closed
 
     def run(self) -> None:
@@ -243,7 +245,7 @@
                 if reason:
                     return reason
             until, events = self._next_wait()
-            self._is_reading = bool(events & READABLE)
+            self._set_reading(bool(events & READABLE))
             # PEER_CLOSED reports a disconnection also while nothing is read or bytes are unread.
             bits = connection.wait(until, events | PEER_CLOSED)
             self.write_answers()
@@ -262,12 +264,22 @@
                     return result
         return connection.close_reason or CloseReason.SHUTDOWN
 
+    def _set_reading(self, is_reading: bool) -> None:
+        self._is_reading = is_reading
+        if not is_reading and self._unread_since is None:
+            self._unread_since = self._frontend.scheduler.clock()
+
     def _read(self) -> int | CloseReason:
         """Reads and executes commands; returns the number of bytes, or why the connection ended."""
-        data = self._stream.read(min(READ_CHUNK_BYTES, self.reader.room()))
+        size = min(READ_CHUNK_BYTES, self.reader.room())
+        data = self._stream.read(size)
         if isinstance(data, CloseReason):
             return data
         arrived_since = self._frontend.scheduler.arrived_since
+        if self._unread_since is not None:
+            arrived_since = min(arrived_since, self._unread_since)
+            if len(data or b"") < size:
+                self._unread_since = None
         if self._final_input:
             self._final_input.remaining_bytes -= len(data or b"")
             arrived_since = min(arrived_since, self._final_input.arrived_by)
--- a/hazelhollow/storage/__init__.py
+++ b/hazelhollow/storage/__init__.py
@@ -12,8 +12,8 @@
   1 MiB. Appended to by `configuration`. Limiters never read it; the tools that read it use the
   entries before the damage and report the rest.
 - `$TMPDIR/hazelhollow-NAME-bans.json`, endpoints that an operator disabled. Written by `net`,
-  completely and by rename, under the lock of the empty file `...-bans.json.lock` beside it. One that is damaged or was written by another program is logged and
-  ignored until it is written again.
+  completely and by rename, under the lock of the empty file `...-bans.json.lock` beside it. One
+  that is damaged or was written by another program is logged and ignored until it is written again.
 - `view_file` of the operator file, lines about the membership. Appended to by `membership`.
   Limiters never read it; programs that read it skip a torn line. Its size is not bounded.
 
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hazelhollow.decisions import interface as api
 from hazelhollow.net import resp
 from hazelhollow.net.command_reader import MAX_PIPELINED
 from hazelhollow.net.session import MAX_UNSENT_BYTES
@@ -95,3 +96,26 @@
     (session,) = stage.service.frontend.sessions.sessions
     assert session.held_bytes() <= MAX_UNSENT_BYTES + 2 * 65536 + MAX_PIPELINED * 4096
     stage.play(f"b send {ask(1)}\ns1 expect {ask(1)}\ns1 send {VALUE}\nb expect $2\\r\\nhi")
+
+
+def test_time_in_the_socket_is_deducted_while_the_session_does_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against endpoints that are told more time than the client has left.
+
+    A client sends 600 commands at once, of which the session reads the last ones seconds later.
+    """
+    stage = Stage(hosts=1)
+    told = list[tuple[float, float]]()  # when a request was executed, and the time left to it
+
+    def observe(event: object, now: float) -> list[object]:
+        if isinstance(event, api.RequestArrived):
+            told.append((now, event.time_left))
+        return []
+
+    monkeypatch.setattr(stage.service.engine_driver._decisions, "handle", observe)
+    sent_at = stage.now
+    stage._end("a").sendall(b"".join(stage.bytes_of(ask(n, 2500)) for n in range(600)))
+    stage.play("wait 4.0")
+    assert told[-1][0] > sent_at + 2.0
+    assert all(time_left <= 2.5 - (now - sent_at) + 0.15 for now, time_left in told)
