--- a/hazelhollow/net/graceful_shutdown.py
+++ b/hazelhollow/net/graceful_shutdown.py
@@ -23,7 +23,7 @@
    connected has 0.25 s for its first command (`session.FIRST_COMMAND_GRACE_S`).
 3. CLOSING, from 0.7 s: the listening socket is closed. Connections in its accept queue, which the
    close would reset, are accepted first and have 0.25 s for a first command. Open connections
-   execute the commands that have arrived by now, read or not (`final_input`), and no others.
+   execute the commands that have arrived by now, read or not (`session_input`), and no others.
    Requests in flight continue, with their attempts, retries and
    deadlines unchanged.
 4. Each request ends with its answer, at the latest at its own deadline, when its attempts are
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -3,7 +3,7 @@
 | state | fields | reads commands | left by |
 | --- | --- | --- | --- |
 | OPEN | | yes | `finish`: FINISHING. Malformed bytes: REJECTED. Client closes: CLOSED |
-| FINISHING | `finishing`, `_final_input` | those that arrived in time | none is left: LINGERING |
+| FINISHING | `finishing` | those that arrived in time | none is left: LINGERING |
 | REJECTED | `reader.stopped` | no | the error after the last answer was sent: LINGERING |
 | LINGERING | `_linger_reason` | no: dropped | the client closes, 1 s or 1 MiB pass: CLOSED |
 | CLOSED | the stream's close reason | no | |
@@ -13,7 +13,8 @@
 unread or still in transit resets the connection, and the client would lose its last answer.
 
 The session's task runs `run`; `frontend` checks the session every quarter of a second
-(`reason_to_close`); `command_reader` reads its commands and `answer_slot` holds its answers.
+(`reason_to_close`); `session_input` reads its bytes, `command_reader` its commands, and
+`answer_slot` holds its answers.
 """
 
 from __future__ import annotations
@@ -25,15 +26,14 @@
 from hazelhollow.net.answer_slot import AnswerSlot
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.command_reader import MAX_PIPELINED, CommandReader
-from hazelhollow.net.final_input import FinalInput
 from hazelhollow.net.scheduler import PEER_CLOSED, READABLE, SOCKET_ERROR, TIMED_OUT, WOKEN
+from hazelhollow.net.session_input import SessionInput
 from hazelhollow.net.unserved_command_limit import UnservedCommandLimit
 
 if TYPE_CHECKING:
     from hazelhollow.net.frontend import Frontend
 
 MAX_UNSENT_BYTES = 4 * resp.MAX_STRING_BYTES  # answers that the client has not read
-READ_CHUNK_BYTES = 16 * 1024
 STALL_TIMEOUT_S = 10.0  # without a byte read by the client, while answers are pending
 COMMAND_TIMEOUT_S = 2.0  # for the rest of a command, and for the first one of a connection
 IDLE_TIMEOUT_S = 10.0
@@ -74,10 +74,7 @@
         self._send_progress = (0, 0.0)  # bytes sent, and since when this number has not grown
         self.finishing = False
         self.accepting_commands = True
-        self._final_input: FinalInput | None = None  # once commands are no longer accepted
-        self._is_reading = True
-        # When the session last stopped reading; None once it has found the socket empty again.
-        self._unread_since: float | None = None
+        self._input = SessionInput(connection, self.reader)
         self._linger_reason: CloseReason | None = None  # why the sending side was closed
 
     def run(self) -> None:
@@ -159,7 +156,7 @@
                 return CloseReason.STALLED
         if self.reader.stopped:
             return None  # each outstanding answer has a deadline of its own
-        if not self._is_reading:
+        if not self._input.is_reading:
             self.reader.restart_timeout(now)
         awaiting_since = self.reader.awaiting_since
         if awaiting_since is not None and now - awaiting_since >= COMMAND_TIMEOUT_S:
@@ -245,7 +242,7 @@
                 if reason:
                     return reason
             until, events = self._next_wait()
-            self._set_reading(bool(events & READABLE))
+            self._input.set_reading(bool(events & READABLE))
             # PEER_CLOSED reports a disconnection also while nothing is read or bytes are unread.
             bits = connection.wait(until, events | PEER_CLOSED)
             self.write_answers()
@@ -254,66 +251,19 @@
             if bits == TIMED_OUT:
                 self.unserved_command_limit.refill()
                 self.reader.feed(self, b"")
-                if self._final_input:
-                    self._read_final_input(self._final_input)
+                self._input.read_final_input(self)
             elif bits != WOKEN and bits & (PEER_CLOSED | SOCKET_ERROR):
                 return CloseReason.CLOSED if bits & PEER_CLOSED else CloseReason.RESET
             elif bits != WOKEN and bits & READABLE:
-                result = self._read()
+                result = self._input.read(self)
                 if isinstance(result, CloseReason):
                     return result
         return connection.close_reason or CloseReason.SHUTDOWN
 
-    def _set_reading(self, is_reading: bool) -> None:
-        self._is_reading = is_reading
-        if not is_reading and self._unread_since is None:
-            self._unread_since = self._frontend.scheduler.clock()
-
-    def _read(self) -> int | CloseReason:
-        """Reads and executes commands; returns the number of bytes, or why the connection ended."""
-        size = min(READ_CHUNK_BYTES, self.reader.room())
-        data = self._stream.read(size)
-        if isinstance(data, CloseReason):
-            return data
-        arrived_since = self._frontend.scheduler.arrived_since
-        if self._unread_since is not None:
-            arrived_since = min(arrived_since, self._unread_since)
-            if len(data or b"") < size:
-                self._unread_since = None
-        if self._final_input:
-            self._final_input.remaining_bytes -= len(data or b"")
-            arrived_since = min(arrived_since, self._final_input.arrived_by)
-        if data and not self.reader.stopped:
-            self.reader.arrived_since = arrived_since
-            self.reader.feed(self, data)
-        return len(data or b"")
-
     def _stop_accepting_if_due(self) -> None:
-        """Reads the commands that are still executed, once no more are accepted.
-
-        Guards against commands that are dropped with the reader's buffer: a session that has
-        several in progress, or is throttled, has not executed all that it has read.
-        """
-        if self._final_input or self.reader.stopped or self._accepts_commands():
-            return
-        self._final_input = FinalInput(self._frontend.scheduler.clock())
-        self.unserved_command_limit.lift()
-        self._read_final_input(self._final_input)
-
-    def _read_final_input(self, final_input: FinalInput) -> None:
-        """Reads as much of the final input as the buffer has room for."""
-        while final_input.remaining_bytes > 0 and self.reader.room() > 0:
-            read = self._read()
-            if isinstance(read, CloseReason) or not read:
-                final_input.remaining_bytes = 0
-
-    def _has_executed_all(self) -> bool:
-        """Whether no command is left to execute; the rest of an incomplete one is not read."""
-        return (
-            self._final_input is not None
-            and self._final_input.remaining_bytes <= 0
-            and not self.reader.has_more
-        )
+        if self._input.is_accepting() and not (self.reader.stopped or self._accepts_commands()):
+            self.unserved_command_limit.lift()
+            self._input.stop_accepting(self)
 
     def _reason_if_finished(self) -> CloseReason | None:
         """Returns the close reason if FINISHING or REJECTED is over, else None."""
@@ -321,7 +271,7 @@
             return CloseReason.MALFORMED
         if self.finishing and (
             self.is_between_requests()
-            or (self._has_executed_all() and self._has_sent_all_answers())
+            or (self._input.has_executed_all() and self._has_sent_all_answers())
         ):
             return CloseReason.SHUTDOWN
         return None
@@ -336,6 +286,6 @@
             return None, 0
         if self.unserved_command_limit.is_exhausted():
             return self.unserved_command_limit.available_at(), 0
-        if self.reader.has_more or (self._final_input and self._final_input.remaining_bytes > 0):
+        if self.reader.has_more or self._input.has_final_input():
             return self._frontend.scheduler.clock(), 0  # next turn, after other connections
-        return None, READABLE if self._final_input is None and self._accepts_commands() else 0
+        return None, READABLE if self._input.is_accepting() and self._accepts_commands() else 0
--- /dev/null
+++ b/hazelhollow/net/session_input.py
@@ -0,0 +1,110 @@
+"""The input of a session: when it is read, when it arrived, and what is read at the end.
+
+| state | fields | reads | left by |
+| --- | --- | --- | --- |
+| READING | `is_reading` | whenever poll reports bytes | `set_reading` |
+| PAUSED | not `is_reading` | nothing | `set_reading` |
+| FINAL | `_final_bytes` | what has arrived by `stop_accepting` | the socket is empty |
+| ENDED | `_final_bytes` is 0 | nothing | |
+
+A session pauses while too many of its commands are in progress, while its client does not read its
+answers, and while its commands are throttled. What arrives meanwhile was accepted with the
+connection: it is still executed when the session stops accepting commands, and the time that it has
+waited in the socket counts as waited. Input that arrives after FINAL is not owed an answer.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hazelhollow.net.close_reason import CloseReason
+from hazelhollow.net.command_reader import CommandReader
+from hazelhollow.net.stream import Stream
+
+if TYPE_CHECKING:
+    from hazelhollow.net.session import Session
+
+READ_CHUNK_BYTES = 16 * 1024
+MAX_FINAL_BYTES = 1 << 20  # of one connection
+
+
+class SessionInput:
+    """Reads one session's bytes and feeds them to its command reader.
+
+    The session is passed with each call and not stored, as with `CommandReader`.
+
+    Attributes:
+        is_reading: Whether the session waits for bytes.
+    """
+
+    __slots__ = ("is_reading", "_stream", "_reader", "_unread_since", "_final_bytes", "_final_at")
+
+    def __init__(self, stream: Stream, reader: CommandReader) -> None:
+        self._stream, self._reader = stream, reader
+        self.is_reading = True
+        # When the session last stopped reading; None once it has found the socket empty again.
+        self._unread_since: float | None = None
+        self._final_bytes: int | None = None  # that may still be read; None before FINAL
+        self._final_at = 0.0  # by when they had arrived
+
+    def set_reading(self, is_reading: bool) -> None:
+        """Notes whether the session waits for bytes from now on."""
+        self.is_reading = is_reading
+        if not is_reading and self._unread_since is None:
+            self._unread_since = self._stream.scheduler.clock()
+
+    def read(self, session: Session) -> int | CloseReason:
+        """Reads and executes commands; returns the number of bytes, or why the connection ended."""
+        size = min(READ_CHUNK_BYTES, self._reader.room())
+        data = self._stream.read(size)
+        if isinstance(data, CloseReason):
+            return data
+        count = len(data or b"")
+        arrived_since = self._arrived_since(is_empty=count < size)
+        if self._final_bytes is not None:
+            self._final_bytes = max(self._final_bytes - count, 0)
+        if data and not self._reader.stopped:
+            self._reader.arrived_since = arrived_since
+            self._reader.feed(session, data)
+        return count
+
+    def _arrived_since(self, is_empty: bool) -> float:
+        """Returns the earliest time at which the bytes just read can have arrived."""
+        arrived_since = self._stream.scheduler.arrived_since
+        if self._unread_since is not None:
+            arrived_since = min(arrived_since, self._unread_since)
+            if is_empty:
+                self._unread_since = None
+        if self._final_bytes is not None:
+            arrived_since = min(arrived_since, self._final_at)
+        return arrived_since
+
+    # The end
+
+    def is_accepting(self) -> bool:
+        """Whether commands that arrive from now on are accepted."""
+        return self._final_bytes is None
+
+    def has_final_input(self) -> bool:
+        """Whether input that arrived in time may still be unread."""
+        return bool(self._final_bytes)
+
+    def has_executed_all(self) -> bool:
+        """Whether no command is left to execute; the rest of an incomplete one is not read."""
+        return self._final_bytes == 0 and not self._reader.has_more
+
+    def stop_accepting(self, session: Session) -> None:
+        """Begins to read the commands that are still executed.
+
+        Guards against commands that are dropped with the reader's buffer or left in the socket: a
+        session that was paused has not executed all that has arrived.
+        """
+        self._final_bytes, self._final_at = MAX_FINAL_BYTES, self._stream.scheduler.clock()
+        self.read_final_input(session)
+
+    def read_final_input(self, session: Session) -> None:
+        """Reads as much of the final input as the reader's buffer has room for."""
+        while self._final_bytes and self._reader.room() > 0:
+            count = self.read(session)
+            if isinstance(count, CloseReason) or count == 0:
+                self._final_bytes = 0
