A pause in reading ends with the first poll that finds the socket empty

Found by taking each new guard out once: "Deduct the time that commands wait in the socket" kept the time of a pause until the next read, so that a command that came long after it was given too little time, or refused as late. Now the pause ends with the first poll after it that found nothing.

--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from hazelhollow.net.close_reason import CloseReason
@@ -37,21 +38,25 @@
         is_reading: Whether the session waits for bytes.
     """
 
-    __slots__ = ("is_reading", "_stream", "_reader", "_unread_since", "_final_bytes", "_final_at")
+    __slots__ = ("is_reading", "_stream", "_reader", "_unread_since", "_resumed_at", "_final_bytes")
 
     def __init__(self, stream: Stream, reader: CommandReader) -> None:
         self._stream, self._reader = stream, reader
         self.is_reading = True
-        # When the session last stopped reading; None once it has found the socket empty again.
+        # When the session stopped reading; None once the socket was found empty again.
         self._unread_since: float | None = None
+        self._resumed_at = math.inf  # when it last began to read again; infinite while paused
         self._final_bytes: int | None = None  # that may still be read; None before FINAL
-        self._final_at = 0.0  # by when they had arrived
 
     def set_reading(self, is_reading: bool) -> None:
         """Notes whether the session waits for bytes from now on."""
+        if not is_reading:
+            self._resumed_at = math.inf
+            if self._unread_since is None:
+                self._unread_since = self._stream.scheduler.clock()
+        elif not self.is_reading:
+            self._resumed_at = self._stream.scheduler.clock()
         self.is_reading = is_reading
-        if not is_reading and self._unread_since is None:
-            self._unread_since = self._stream.scheduler.clock()
 
     def read(self, session: Session) -> int | CloseReason:
         """Reads and executes commands; returns the number of bytes, or why the connection ended."""
@@ -71,12 +76,14 @@
     def _arrived_since(self, is_empty: bool) -> float:
         """Returns the earliest time at which the bytes just read can have arrived."""
         arrived_since = self._stream.scheduler.arrived_since
-        if self._unread_since is not None:
-            arrived_since = min(arrived_since, self._unread_since)
-            if is_empty:
-                self._unread_since = None
-        if self._final_bytes is not None:
-            arrived_since = min(arrived_since, self._final_at)
+        if self._unread_since is None:
+            return arrived_since
+        if arrived_since > self._resumed_at:  # a poll since then has found the socket empty
+            self._unread_since = None
+            return arrived_since
+        arrived_since = min(arrived_since, self._unread_since)
+        if is_empty:
+            self._unread_since = None
         return arrived_since
 
     # The end
@@ -99,7 +106,7 @@
         Guards against commands that are dropped with the reader's buffer or left in the socket: a
         session that was paused has not executed all that has arrived.
         """
-        self._final_bytes, self._final_at = MAX_FINAL_BYTES, self._stream.scheduler.clock()
+        self._final_bytes = MAX_FINAL_BYTES
         self.read_final_input(session)
 
     def read_final_input(self, session: Session) -> None:
--- a/tests/configuration/test_rollout.py
+++ b/tests/configuration/test_rollout.py
@@ -352,6 +352,14 @@
     assert fleet.members_on(BEFORE) == ALL and not fleet.canaries() and not member.rollout_events()
 
 
+def test_a_push_needs_no_settings_of_the_member_itself(fleet: ConfigurationFleet) -> None:
+    """An operator pushes a file without the position and zone that each member has for itself."""
+    member = fleet.members[0]
+    member.active_settings = {**BEFORE, "position": 0, "zone": "a"}
+    member.driver.rollouts.push(1, 3, BAKE_S, AFTER)
+    assert member.active_settings == AFTER
+
+
 def test_a_push_not_above_the_tried_revisions_is_refused(
     fleet: ConfigurationFleet,
 ) -> None:
--- a/tests/net/test_administrative_overrides.py
+++ b/tests/net/test_administrative_overrides.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import time
+from contextlib import ExitStack
 from pathlib import Path
 
 import orjson
 import pytest
 
 from hazelhollow.decisions import interface as api
-from hazelhollow.net.override_file import OverrideFile, path_for
+from hazelhollow.net.override_file import LOCK_RETRY_S, OverrideFile, path_for
 from tests.decisions.helpers import actions_of, ask, endpoint_list, entry, make_engine
 from tests.net.scenario import Stage
 from tests.net.test_operator_address import call, figures, operator_stage
@@ -108,6 +110,25 @@
     assert Stage(hosts=4).service.engine.table.disabled == {"s1", "s3"}
 
 
+def test_override_waits_for_the_other_process_to_finish_its_write(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two processes that change the file in the same moment."""
+    path, other_process = path_for("n0", str(tmp_path)), ExitStack()
+    other_process.enter_context(OverrideFile(path).exclusive())
+    waits = list[float]()
+
+    def finish_the_other_write(seconds: float) -> None:
+        waits.append(seconds)
+        OverrideFile(path).write({"s1"})
+        other_process.close()
+
+    monkeypatch.setattr(time, "sleep", finish_the_other_write)
+    second = OverrideFile(path)
+    with second.exclusive():
+        assert waits == [LOCK_RETRY_S] and second.read() == {"s1"}
+
+
 def test_override_is_written_though_a_stopped_process_holds_the_lock(tmp_path: Path) -> None:
     """Guards against a call that is never answered: the other process was stopped in its write."""
     override_file = OverrideFile(path_for("n0", str(tmp_path)))
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -119,3 +119,13 @@
     stage.play("wait 4.0")
     assert told[-1][0] > sent_at + 2.0
     assert all(time_left <= 2.5 - (now - sent_at) + 0.15 for now, time_left in told)
+
+
+def test_time_of_an_earlier_pause_is_not_deducted_from_later_commands() -> None:
+    """Guards against commands that are given less time than their client has left.
+
+    The session did not read for a while, then found its socket empty; a command comes much later.
+    """
+    stage = Stage(hosts=1)
+    stage._end("a").sendall(stage.bytes_of("[SELECT 0]") * 300)  # throttled after 200
+    stage.play(f"wait 8.0\na expect **\na send {ask(1)}\ns1 expect {ask(1)}")
--- a/tests/net/test_missing_keys.py
+++ b/tests/net/test_missing_keys.py
@@ -130,12 +130,25 @@
     assert running.accepts(FILE)
 
 
-def test_null_in_place_of_a_value_counts_as_a_missing_key(running: RunningLimiter) -> None:
+@pytest.mark.parametrize("path", [("grades", 1, "dedup_scope"), ("safety", "answer_slack")])
+def test_null_in_place_of_a_value_counts_as_a_missing_key(
+    path: Path_, running: RunningLimiter
+) -> None:
+    """Guards against a null that passes as a value; some keys of a file are not read otherwise."""
     file = copy.deepcopy(FILE)
-    file["settings"]["grades"][1]["dedup_scope"] = None
+    parent: Any = file["settings"]
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = None
     assert not running.accepts(file)
 
 
+def test_null_in_force_is_not_required(tmp_path: Path) -> None:
+    """A null is as good as no value, so the next file need not have the key."""
+    running = RunningLimiter(tmp_path / "config.json", FILE | {"counter": None})
+    assert running.accepts(FILE)
+
+
 def test_message_names_the_file_and_all_missing_keys(
     running: RunningLimiter, caplog: pytest.LogCaptureFixture
 ) -> None:
