--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -98,6 +98,19 @@
     stage.play(f"b send {ask(1)}\ns1 expect {ask(1)}\ns1 send {VALUE}\nb expect $2\\r\\nhi")
 
 
+def observe_requests(stage: Stage, monkeypatch: pytest.MonkeyPatch) -> list[tuple[float, float]]:
+    """Returns a list of when each request is executed and the time left to it; none is decided."""
+    told = list[tuple[float, float]]()
+
+    def observe(event: object, now: float) -> list[object]:
+        if isinstance(event, api.RequestArrived):
+            told.append((now, event.time_left))
+        return []
+
+    monkeypatch.setattr(stage.service.engine_driver._decisions, "handle", observe)
+    return told
+
+
 def test_time_in_the_socket_is_deducted_while_the_session_does_not_read(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -106,14 +119,7 @@
     A client sends 600 commands at once, of which the session reads the last ones seconds later.
     """
     stage = Stage(hosts=1)
-    told = list[tuple[float, float]]()  # when a request was executed, and the time left to it
-
-    def observe(event: object, now: float) -> list[object]:
-        if isinstance(event, api.RequestArrived):
-            told.append((now, event.time_left))
-        return []
-
-    monkeypatch.setattr(stage.service.engine_driver._decisions, "handle", observe)
+    told = observe_requests(stage, monkeypatch)
     sent_at = stage.now
     stage._end("a").sendall(b"".join(stage.bytes_of(ask(n, 2500)) for n in range(600)))
     stage.play("wait 4.0")
@@ -129,3 +135,21 @@
     stage = Stage(hosts=1)
     stage._end("a").sendall(stage.bytes_of("[SELECT 0]") * 300)  # throttled after 200
     stage.play(f"wait 8.0\na expect **\na send {ask(1)}\ns1 expect {ask(1)}")
+
+
+def test_time_in_the_socket_is_deducted_in_a_shutdown_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a pause that counts as over since an earlier one is.
+
+    The session does not read the second batch until the shutdown reads what has arrived.
+    """
+    stage = Stage(hosts=1)
+    told = observe_requests(stage, monkeypatch)
+    for _ in range(2):
+        sent_at, before = stage.now, len(told)
+        stage._end("a").sendall(b"".join(stage.bytes_of(ask(n, 2500)) for n in range(600)))
+        stage.play("wait 3.0" if not before else "wait 0.5")
+    assert before == 600
+    stage.service.shutdown.begin()
+    stage.play("wait 4.0")
+    assert len(told) == 1200
+    assert all(time_left <= 2.5 - (now - sent_at) + 0.15 for now, time_left in told[before:])
