--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -298,6 +298,10 @@
                 return
             max_bytes -= len(data or b"")
 
+    def set_linger(self, option: bytes) -> None:
+        """Sets SO_LINGER, with which stand-ins reset a connection."""
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     def close(self, reason: CloseReason) -> None:
         """Closes the socket and drops unsent bytes; later calls have no effect."""
         if self.close_reason is None:
--- a/hazelhollow/standins/discovery.py
+++ b/hazelhollow/standins/discovery.py
@@ -34,6 +34,7 @@
         state: `up`, `draining` or `gone`.
         started: start time in Unix seconds; 0: long ago.
         index: index of the list when this entry last changed.
+        group: number of the endpoint's cell.
     """
 
     name: str
@@ -42,6 +43,7 @@
     state: str = "up"
     started: float = 0.0
     index: int = 0
+    group: int = 0
 
 
 @dataclass(eq=False)
@@ -111,7 +113,7 @@
                         "address": host.addresses[limiter],
                         "zone": host.zone,
                         "type": "m1",
-                        "group": 0,
+                        "group": host.group,
                         "status": STATUS_NAMES[host.state],
                         "weight": 1.0,
                         "since_ms": int(host.started * 1000),
--- a/hazelhollow/standins/node.py
+++ b/hazelhollow/standins/node.py
@@ -1,14 +1,17 @@
 """A stand-in for an endpoint: it serves every request after a fixed processing time.
 
 It processes a bounded number of requests concurrently, and can start slowly, drain, report its load
-and write a journal line for each request that it begins.
+and write a journal line for each request that it begins. With a script its answers are written step
+by step, with pauses and faults.
 """
 
 from __future__ import annotations
 
 import os
 import socket
+import struct
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -18,12 +21,15 @@
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.errors import ProtocolError
 from hazelhollow.net.scheduler import Scheduler
+from hazelhollow.standins.answer_script import End, Pause, ScriptWriter, Write
 
-MAX_OUT_BYTES = 1024 * 1024  # buffered replies of one connection
+MAX_OUT_BYTES = 8 * 1024 * 1024  # buffered replies of one connection
 MAX_QUEUED_REQUESTS = 1000
+DRAIN_POLL_S = 0.005  # between checks whether a scripted answer has been sent
 NO_JOURNAL = -1  # instead of a file descriptor
 REQUEST_COMMANDS = (b"Q.ASK", b"Q.DO")
 REQUEST_ARGUMENTS = 4  # command, customer, request id, fields
+RESET_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER: close() resets the connection
 FIXED_REPLIES = {b"PING": b"+PONG\r\n", b"CLIENT": b"+OK\r\n", b"SELECT": b"+OK\r\n"}
 
 
@@ -58,12 +64,18 @@
         cores: number of requests that are processed concurrently.
         slow_start: the speed after the start.
         journal: file descriptor that receives a JSON line for each request that begins.
+        script: returns what is written for a request; None: its id, at once.
+        on_begin: called with the arguments of each request when it begins to run.
+        on_written: called with the arguments and the bytes sent when its answer ends.
     """
 
     work: float
     cores: int
     slow_start: SlowStart = SlowStart()
     journal: int = NO_JOURNAL
+    script: ScriptWriter | None = None
+    on_begin: Callable[[list[bytes]], None] = lambda _arguments: None
+    on_written: Callable[[list[bytes], int], None] = lambda _arguments, _sent: None
 
 
 class QueuedRequest(NamedTuple):
@@ -74,6 +86,10 @@
     id: bytes
     arguments: list[resp.Value]
 
+    def words(self) -> list[bytes]:
+        """Returns the arguments of the command."""
+        return [word for word in self.arguments if isinstance(word, bytes)]
+
 
 class Node:
     """One stand-in endpoint and its listening socket."""
@@ -141,6 +157,7 @@
             request = self._queue.popleft()
             now = self.scheduler.clock()
             self._write_to_journal(request.arguments, now)
+            self.options.on_begin(request.words())
             speed = self.options.slow_start.speed(now - self.started_at)
             self.scheduler.at(now + self.options.work / speed, self._finish, request)
 
@@ -162,11 +179,41 @@
     def _finish(self, request: QueuedRequest) -> None:
         self.busy -= 1
         self.served += 1
+        if self.options.script:
+            self.scheduler.spawn(self._play, request, name="scripted answer")
+            self._begin_queued()
+            return
         body = resp.encode_bulk_string(b"served " + request.id)
         report = resp.encode_bulk_string(self._load_report())
         self._reply(request.connection, request.slot, b"*3\r\n" + body + b"$-1\r\n" + report)
         self._begin_queued()
 
+    def _play(self, request: QueuedRequest) -> None:
+        """Writes a scripted answer; the body of its task."""
+        assert self.options.script
+        driver, sent_before = request.connection.driver, request.connection.driver.bytes_sent
+        for step in self.options.script(request.words()):
+            if driver.close_reason is not None or step is End.HANG:
+                break
+            if isinstance(step, Pause):
+                self.scheduler.sleep(step.seconds)
+            elif isinstance(step, Write):
+                driver.write(step.data)
+            else:
+                self._end(driver, step)
+        else:
+            self._reply(request.connection, request.slot, b"")
+        while driver.send_buffer and driver.close_reason is None:
+            self.scheduler.sleep(DRAIN_POLL_S)
+        self.options.on_written(request.words(), driver.bytes_sent - sent_before)
+
+    @staticmethod
+    def _end(driver: stream.Stream, how: End) -> None:
+        driver.flush()
+        if how is End.RESET and driver.close_reason is None:
+            driver.set_linger(RESET_LINGER)
+        driver.close(CloseReason.CLOSED)
+
     @staticmethod
     def _reply(connection: Connection, slot: list[bytes], data: bytes) -> None:
         slot.append(data)
