Pass long answers on as they come, instead of bounding them by what can be collected

What callers saw: an answer over 64 KiB was cut off at its head, the work was done up to six times, then came -BUSY or an error. Cause: the pool returned answers whole, so that their size had to be bounded. Change: net/answer_parser.py (strict grammar, no I/O) returns values piece by piece; a value over 64 KiB is forwarded while it arrives (net/value_forwarding.py). Without room at its client the endpoint is not read; from its first byte on it is the only attempt, has no deadline and is neither hung nor a backlog to the engine; its last two bytes wait for the figures behind it, and a broken one closes the connection. System buffers are bounded too. A stalled short answer is given up only if the engine can start another attempt at once (AnswerStalled), so that unsafe requests are not cut off after 0.5 s.

--- a/hazelhollow/decisions/attempts.py
+++ b/hazelhollow/decisions/attempts.py
@@ -11,7 +11,7 @@
 from hazelhollow.decisions.actions import CancelAttempt, FailRequest, StartAttempt
 from hazelhollow.decisions.context import DecisionContext
 from hazelhollow.decisions.endpoint_selection import EndpointSelection
-from hazelhollow.decisions.events import AttemptEnded
+from hazelhollow.decisions.events import AnswerStalled, AttemptEnded, AttemptStarted
 from hazelhollow.decisions.gossip import codec
 from hazelhollow.decisions.load_estimate import LoadEstimate
 from hazelhollow.decisions.outlier_detection import (
@@ -77,14 +77,10 @@
 
         The end of an attempt that is not in flight is ignored.
         """
-        request = self._pending.by_id.get(event.id)
-        if (
-            request is None
-            or not 0 <= event.attempt < len(request.attempts)
-            or not request.attempts[event.attempt].in_flight
-        ):
+        attempt = self._attempt_in_flight(event.id, event.attempt)
+        if attempt is None:
             return
-        attempt = request.attempts[event.attempt]
+        request = self._pending.by_id[event.id]
         attempt.in_flight, attempt.may_have_run = False, event.status not in NEVER_RAN
         attempt.endpoint.in_flight.pop((event.id, event.attempt), None)
         self._learn(attempt, request, event)
@@ -95,14 +91,54 @@
             self._retry_or_end(request, cost_of_retry(attempt, event))
         self._pending.forget_if_done(event.id)
 
+    def answer_started(self, event: AttemptStarted) -> None:
+        """Notes that a long answer is being forwarded: the endpoint has done the work.
+
+        The attempt stays in flight, but neither hangs nor counts as a backlog: how long the answer
+        takes depends on the client.
+        """
+        attempt = self._attempt_in_flight(event.id, event.attempt)
+        if attempt is not None:
+            attempt.is_answering = True
+            attempt.endpoint.last_progress_at = self._context.now
+            attempt.endpoint.in_flight.pop((event.id, event.attempt), None)
+
+    def answer_stalled(self, event: AnswerStalled) -> None:
+        """Cancels an attempt whose answer has stopped half way, if another can start at once.
+
+        Otherwise the rest may still arrive in time, and nothing would be gained.
+        """
+        attempt = self._attempt_in_flight(event.id, event.attempt)
+        if attempt is None:
+            return
+        request, context = self._pending.by_id[event.id], self._context
+        attempt.in_flight = False  # as it would be after the cancellation
+        can_retry = not request.ended and self._can_retry(request, 1.0) is not None
+        attempt.in_flight = True
+        if can_retry:
+            context.actions.append(CancelAttempt(event.id, event.attempt))
+            self._outliers.record_failure(attempt.endpoint, request.request_class.name)
+
+    def _attempt_in_flight(self, request_id: str, number: int) -> Attempt | None:
+        request = self._pending.by_id.get(request_id)
+        if request is None or not 0 <= number < len(request.attempts):
+            return None
+        attempt = request.attempts[number]
+        return attempt if attempt.in_flight else None
+
+    def _can_retry(self, request: PendingRequest, cost: float) -> Endpoint | None:
+        """Returns the endpoint of another attempt that is allowed and can be in time, or None."""
+        context = self._context
+        endpoint, delay = self._selection.choose(request, self._load.work_of(request))
+        in_time = context.now + delay < min(request.objective_at, request.deadline)
+        return endpoint if endpoint and self._budget.can_spend(cost) and in_time else None
+
     def _retry_or_end(self, request: PendingRequest, cost: float) -> None:
         """Starts another attempt if one is allowed and can be in time; else ends the request."""
-        context, work = self._context, self._load.work_of(request)
-        endpoint, delay = self._selection.choose(request, work)
-        in_time = context.now + delay < min(request.objective_at, request.deadline)
-        if endpoint and self._budget.can_spend(cost) and in_time:
+        context, endpoint = self._context, self._can_retry(request, cost)
+        if endpoint:
             self._budget.spend(cost)
-            self.start(request, endpoint, work)
+            self.start(request, endpoint, self._load.work_of(request))
             return
         request.ended = True
         if may_reject(request):
--- a/hazelhollow/decisions/engine.py
+++ b/hazelhollow/decisions/engine.py
@@ -33,7 +33,9 @@
 from hazelhollow.decisions.events import (
     AccountReplicated,
     AllowanceGranted,
+    AnswerStalled,
     AttemptEnded,
+    AttemptStarted,
     ClientDisconnected,
     EndpointOverridden,
     EndpointsUpdated,
@@ -99,6 +101,8 @@
         self._round_period = 0  # the period of the latest round
         self._handlers: dict[type, Callable[[Any], None]] = {
             RequestArrived: self.admission.arrive,
+            AttemptStarted: self.attempts.answer_started,
+            AnswerStalled: self.attempts.answer_stalled,
             AttemptEnded: self.attempts.end,
             ClientDisconnected: self._client_disconnected,
             AllowanceGranted: self.quota.grant_allowance,
--- a/hazelhollow/decisions/events.py
+++ b/hazelhollow/decisions/events.py
@@ -96,6 +96,14 @@
     endpoint: str
 
 
+@dataclass(frozen=True)
+class AnswerStalled:
+    """A part of an attempt's answer has arrived, and nothing more for some time."""
+
+    id: str
+    attempt: int
+
+
 @dataclass(frozen=True)
 class AttemptEnded:
     """The end of an attempt.
@@ -272,6 +280,7 @@
     EndpointsUpdated,
     RequestArrived,
     AttemptStarted,
+    AnswerStalled,
     AttemptEnded,
     ClientDisconnected,
     TimerFired,
--- a/hazelhollow/decisions/interface.py
+++ b/hazelhollow/decisions/interface.py
@@ -17,6 +17,7 @@
 from hazelhollow.decisions.events import (
     AccountReplicated,
     AllowanceGranted,
+    AnswerStalled,
     AttemptEnded,
     AttemptStarted,
     ClientDisconnected,
@@ -42,6 +43,7 @@
     "AccountReplicated",
     "Action",
     "AllowanceGranted",
+    "AnswerStalled",
     "AttemptEnded",
     "AttemptStarted",
     "CancelAttempt",
--- a/hazelhollow/decisions/state/pending_requests.py
+++ b/hazelhollow/decisions/state/pending_requests.py
@@ -42,9 +42,18 @@
         backlog: Seconds of work in flight at the endpoint when it started.
         in_flight: Whether it has not ended yet.
         may_have_run: Whether the endpoint may have executed it.
+        is_answering: Whether its answer has begun and is being forwarded.
     """
 
-    __slots__ = ("endpoint", "started_at", "work", "backlog", "in_flight", "may_have_run")
+    __slots__ = (
+        "endpoint",
+        "started_at",
+        "work",
+        "backlog",
+        "in_flight",
+        "may_have_run",
+        "is_answering",
+    )
 
     def __init__(self, endpoint: Endpoint, started_at: float, work: float, backlog: float) -> None:
         self.endpoint, self.started_at, self.work, self.backlog = (
@@ -54,6 +63,7 @@
             backlog,
         )
         self.in_flight = self.may_have_run = True
+        self.is_answering = False
 
     def expected_time(self) -> float:
         """Returns its expected duration in seconds."""
@@ -168,7 +178,12 @@
     def attempts_in_flight_since(self, start: float) -> list[Attempt]:
         """Returns the attempts in flight that started after `start`."""
         requests = self.by_id.values()
-        return [a for r in requests for a in r.attempts if a.in_flight and a.started_at > start]
+        return [
+            a
+            for r in requests
+            for a in r.attempts
+            if a.in_flight and not a.is_answering and a.started_at > start
+        ]
 
     def hanging_attempts(
         self, now: float, factor: float, min_time: float
@@ -183,6 +198,7 @@
             if not request.ended
             for number, attempt in enumerate(request.attempts)
             if attempt.in_flight
+            and not attempt.is_answering
             and now - attempt.started_at > max(factor * attempt.expected_time(), min_time)
         ]
 
--- a/hazelhollow/net/answer_slot.py
+++ b/hazelhollow/net/answer_slot.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from hazelhollow.net import resp
@@ -23,13 +24,17 @@
         answer: The encoded answer for the client; None until it is available.
         open_request: The request whose answer is awaited; None if there is none.
         size: Bytes held in memory: first those of the command, later those of the answer.
+        on_room: While a long value is being forwarded: called when the connection takes more of it;
+            else None.
     """
 
-    __slots__ = ("session", "answer", "open_request", "size")
+    __slots__ = ("session", "answer", "open_request", "size", "on_room", "_value_head")
 
     def __init__(self, session: Session) -> None:
         self.session, self.size = session, 0
         self.answer: bytes | None = None
+        self.on_room: Callable[[], object] | None = None
+        self._value_head = b""  # of a forwarded value, until it is written
         self.open_request: OpenRequest | None = None
 
     def set_answer(self, answer: bytes) -> None:
@@ -44,6 +49,42 @@
         """Answers with the value that the endpoint returned."""
         self.set_answer(resp.encode_bulk_string(value))
 
+    def start_value(self, length: int, on_room: Callable[[], object]) -> None:
+        """Begins a value that is written piece by piece, once this slot is the first."""
+        self._value_head, self.on_room, self.size = b"$%d\r\n" % length, on_room, 0
+        self.session.start_value()
+
+    def value_room(self) -> int:
+        """Returns how many bytes of the value may be written now; 0 behind other answers."""
+        return self.session.value_room(self) if self.on_room else 0
+
+    def write_value(self, data: bytes) -> None:
+        """Writes the next bytes of the value."""
+        self.session.write_value(self._value_head + data)
+        self._value_head = b""
+
+    def complete_value(self) -> None:
+        """Writes the end of the value, without which it does not look complete."""
+        self._end_value(self._value_head + b"\r\n")
+
+    def break_value(self) -> None:
+        """Ends a value that stays incomplete.
+
+        RESP has no other sign for it than the end of the connection. A client that has no byte of
+        the value gets an error instead.
+        """
+        if self._value_head:
+            self._end_value(b"-ERR failed\r\n")
+        else:
+            self.session.end_value()
+            self.on_room = None
+            self.session.break_off()
+
+    def _end_value(self, last_bytes: bytes) -> None:
+        self.on_room = None
+        self.session.end_value()
+        self.set_answer(last_bytes)
+
     def send_busy(self, retry_after_ms: int) -> None:
         """Answers `-BUSY MS`, or `-BUSY` if the wait is 0; `engine_driver` lists the reasons."""
         self.session.unserved_command_limit.spend()
--- a/hazelhollow/net/attempts.py
+++ b/hazelhollow/net/attempts.py
@@ -1,8 +1,10 @@
 """Attempts: each forwards a request to an endpoint once, and ends with one result.
 
 `connection_pool.ConnectionPool.start` creates an attempt and assigns it to a connection; it ends
-with one `AttemptResult`. This module owns the attempt's record and the parsing of an endpoint's
-answer.
+with one `AttemptResult`. This module owns the attempt's record and the meaning of error lines.
+
+A value of up to `MAX_COLLECTED_BYTES` is part of the result. A longer one is forwarded to the
+attempt's `ValueSink` while it arrives (see docs/design/streaming.md).
 """
 
 from __future__ import annotations
@@ -10,17 +12,16 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from hazelhollow.decisions.interface import Status
-from hazelhollow.net import resp
-from hazelhollow.net.errors import EndpointError
 
 if TYPE_CHECKING:
     from hazelhollow.net.pooled_connection import PooledConnection
     from hazelhollow.net.scheduler import Timer
 
 MAX_LOGGED_ANSWER_BYTES = 80
+MAX_COLLECTED_BYTES = 64 * 1024  # of a value; a longer one is timed by its first byte
 
 log = logging.getLogger(__name__)
 
@@ -31,38 +32,48 @@
 
     Attributes:
         status: The status; `close_reason.attempt_status` determines it if no answer arrived.
-        value: The value for the client; only with status "ok".
+        value: The value for the client, with status "ok"; None if it was forwarded to the sink.
         report: The endpoint's load report, not parsed yet.
         figures: The units that the request used according to the endpoint, not parsed yet.
     """
 
     status: Status
-    value: bytes = b""
+    value: bytes | None = b""
     report: bytes = b""
     figures: bytes = b""
 
 
-def read_answer(answer: resp.Value) -> AttemptResult:
-    """Parses an endpoint's answer: `[VALUE, FIGURES, REPORT]`, `-BUSY ...` or `-ERR ...`.
+def read_error(line: bytes) -> AttemptResult:
+    """Returns the result for an endpoint's error line, given without its first byte."""
+    code, _, rest = line.partition(b" ")
+    report = rest.rpartition(b" ")[2] if b"=" in rest else b""
+    if code == b"BUSY":
+        return AttemptResult("full", report=report)
+    if code != b"ERR":
+        log.warning(
+            "endpoint answered with an unknown error code, counted as an error: %r",
+            line[:MAX_LOGGED_ANSWER_BYTES],
+        )
+    return AttemptResult("error", report=report)
 
-    Raises:
-        EndpointError: The answer has another form.
-    """
-    if isinstance(answer, list) and answer and isinstance(answer[0], bytes):
-        figures, report = (x if isinstance(x, bytes) else b"" for x in (answer + [None, None])[1:3])
-        return AttemptResult("ok", answer[0], report, figures)
-    if isinstance(answer, resp.ErrorReply):
-        code, _, rest = answer.partition(b" ")
-        report = rest.rpartition(b" ")[2] if b"=" in rest else b""
-        if code == b"BUSY":
-            return AttemptResult("full", report=report)
-        if code != b"ERR":
-            log.warning(
-                "endpoint answered with an unknown error code, counted as an error: %r",
-                bytes(answer[:MAX_LOGGED_ANSWER_BYTES]),
-            )
-        return AttemptResult("error", report=report)
-    raise EndpointError("the answer is neither an array with a value nor an error line")
+
+class ValueSink(Protocol):
+    """Takes a long value while it arrives. `net/value_forwarding.py` passes it on to a client."""
+
+    def start(self, length: int) -> bool:
+        """Announces a value of `length` bytes; returns whether it is still wanted."""
+
+    def room(self) -> int:
+        """Returns how many bytes may be written now.
+
+        After 0, the sink wakes the attempt's connection as soon as there is room.
+        """
+
+    def write(self, data: bytes) -> None:
+        """Takes a piece of the value, at most `room` bytes."""
+
+    def stalled(self) -> None:
+        """Reports that no byte of an incomplete collected value has arrived for some time."""
 
 
 class Attempt:
@@ -73,6 +84,8 @@
         command: The encoded request.
         on_result: Receives the result; None once the attempt has ended.
         before_sending: Called once, when a new connection is up and before the request is written.
+        sink: Takes a value that is too long to be collected; None if nothing can take it.
+        forwarding_since: When the value began to be forwarded (clock); 0 if it has not.
         connection: The connection that carries the attempt; None if it never got one.
         started_at: When the attempt was started, by the scheduler's clock.
         timeout_timer: Aborts the attempt at its own timeout; None if that is not before the
@@ -85,6 +98,8 @@
         "command",
         "on_result",
         "before_sending",
+        "sink",
+        "forwarding_since",
         "connection",
         "started_at",
         "timeout_timer",
@@ -102,6 +117,8 @@
         self.endpoint, self.command, self.started_at = endpoint, command, started_at
         self.on_result: Callable[[AttemptResult], None] | None = on_result
         self.before_sending: Callable[[], object] | None = before_sending
+        self.sink: ValueSink | None = None
+        self.forwarding_since = 0.0
         self.connection: PooledConnection | None = None
         self.timeout_timer: Timer | None = None
         self.send_by_timer: Timer | None = None
@@ -109,8 +126,18 @@
     def finish(self, result: AttemptResult) -> None:
         """Delivers the result; later calls have no effect."""
         on_result, self.on_result, self.before_sending = self.on_result, None, None
-        for timer in (self.timeout_timer, self.send_by_timer):
-            if timer:
-                timer.cancel()  # a pending timer keeps the attempt and its connection in memory
+        self.sink = None
+        self.cancel_timers()
         if on_result:
             on_result(result)
+
+    def cancel_timers(self) -> None:
+        """Cancels the timeouts; a pending timer would keep the attempt in memory."""
+        for timer in (self.timeout_timer, self.send_by_timer):
+            if timer:
+                timer.cancel()
+
+    def wake_connection(self) -> None:
+        """Makes the connection continue: the sink has room again."""
+        if self.connection and self.connection.stream:
+            self.connection.stream.wake()
--- a/hazelhollow/net/connection_pool.py
+++ b/hazelhollow/net/connection_pool.py
@@ -12,7 +12,20 @@
 from dataclasses import dataclass
 
 from hazelhollow.net import resp, stream
-from hazelhollow.net.attempts import Attempt, AttemptResult, read_answer
+from hazelhollow.net.answer_parser import (
+    AnswerCompleted,
+    AnswerEvent,
+    ErrorReceived,
+    ValueData,
+    ValueStarted,
+)
+from hazelhollow.net.attempts import (
+    MAX_COLLECTED_BYTES,
+    Attempt,
+    AttemptResult,
+    ValueSink,
+    read_error,
+)
 from hazelhollow.net.close_reason import CloseReason, attempt_status
 from hazelhollow.net.errors import EndpointError, ProtocolError
 from hazelhollow.net.pooled_connection import PooledConnection, PoolEndpoint
@@ -25,8 +38,10 @@
 # timeout the endpoint might close it while a request is in transit.
 IDLE_TIMEOUT_SHARE = 0.5
 SWEEP_INTERVAL_S = 0.25  # between checks for idle connections and incomplete answers
-# An incomplete answer without a further byte for this long is not expected to be completed.
+# An incomplete collected value without a further byte for this long is reported as stalled.
 PARTIAL_ANSWER_TIMEOUT_S = 0.5
+# A forwarded value without a further byte for this long has ended, if the client would take more.
+FORWARDING_STALL_S = 5.0
 # A connection is not reused for this long after an answer, as a second copy may still arrive.
 SETTLE_TIME_S = 0.03
 
@@ -99,6 +114,7 @@
         command: bytes,
         on_result: Callable[[AttemptResult], None],
         before_sending: Callable[[], object] = lambda: None,
+        sink: ValueSink | None = None,
     ) -> Attempt:
         """Sends a request to the endpoint of that name, on an idle connection or a new one.
 
@@ -108,9 +124,11 @@
             on_result: Called exactly once, and never before this method returns.
             before_sending: Called when a new connection is up and before anything is written. It
                 may withdraw the attempt if its result is no longer needed.
+            sink: Takes a value that is too long to be collected.
         """
         now, endpoint = self._scheduler.clock(), self._endpoints.get(name)
         attempt = Attempt(name, command, on_result, before_sending, now)
+        attempt.sink = sink
         self._stats.attempts += 1
         if endpoint is None:
             self._fail_at_end_of_turn(attempt, CloseReason.UNLISTED)
@@ -240,26 +258,21 @@
     def _read_answers(self, connection: PooledConnection) -> CloseReason:
         """Reads answers until the connection ends; returns the reason."""
         assert connection.stream
-        sock, parser = connection.stream, connection.parser
+        sock = connection.stream
         sock.on_send_failure = lambda reason: self.close_connection(connection, reason)
         while sock.close_reason is None:
-            if connection.attempt is None:
+            room = self._room(connection)
+            if room <= 0:
                 sock.wait_unwatched()
+            elif not connection.parser.has_value_data() and sock.wait() != WOKEN:
+                data = sock.read(room)
+                if isinstance(data, CloseReason):
+                    return data
+                connection.parser.feed(data or b"")
+            if connection.attempt is None:
                 continue
-            if sock.wait() == WOKEN:
-                continue
-            data = sock.read(parser.ring.room())
-            if data is None:
-                continue
-            if isinstance(data, CloseReason):
-                return data
             try:
-                parser.feed(data)
-                answer = parser.next()
-                if isinstance(answer, resp.NeedMoreData):
-                    connection.partial_answer_at = self._scheduler.clock()
-                    continue
-                self._finish_attempt(connection, read_answer(answer))
+                self._process_received(connection)
             except (ProtocolError, EndpointError) as error:
                 log.info(
                     "endpoint %s: closing a connection after a malformed answer: %s",
@@ -269,6 +282,71 @@
                 return CloseReason.MALFORMED
         return sock.close_reason
 
+    def _room(self, connection: PooledConnection) -> int:
+        """Returns how many bytes may be read now; 0 while idle or while the sink takes none."""
+        attempt = connection.attempt
+        if attempt is None:
+            return 0
+        if not connection.is_forwarding or attempt.sink is None:
+            return stream.READ_CHUNK_BYTES
+        room = attempt.sink.room()
+        if room <= 0:
+            # Silence is the client's now, not the endpoint's.
+            connection.partial_answer_at = 0.0
+        elif not connection.partial_answer_at:
+            connection.partial_answer_at = self._scheduler.clock()
+        return room
+
+    def _process_received(self, connection: PooledConnection) -> None:
+        """Handles the events of the bytes received so far, as far as the sink has room.
+
+        Raises:
+            ProtocolError: The bytes are no answer.
+            EndpointError: The answer cannot belong to the attempt.
+        """
+        while connection.attempt is not None:
+            event = connection.parser.next_event(self._max_data(connection))
+            if event is None:
+                if connection.attempt and not connection.parser.is_idle():
+                    is_blocked = connection.is_forwarding and connection.parser.has_value_data()
+                    connection.partial_answer_at = 0.0 if is_blocked else self._scheduler.clock()
+                return
+            self._handle_event(connection, connection.attempt, event)
+
+    def _max_data(self, connection: PooledConnection) -> int:
+        attempt = connection.attempt
+        if attempt and attempt.sink and connection.is_forwarding:
+            return attempt.sink.room()
+        return MAX_COLLECTED_BYTES
+
+    def _handle_event(
+        self, connection: PooledConnection, attempt: Attempt, event: AnswerEvent
+    ) -> None:
+        if isinstance(event, ValueStarted):
+            self._start_value(connection, attempt, event.length)
+        elif isinstance(event, ValueData):
+            if connection.collected is not None:
+                connection.collected += event.data
+            elif attempt.sink:
+                attempt.sink.write(event.data)
+        elif isinstance(event, ErrorReceived):
+            self._finish_attempt(connection, read_error(event.line))
+        else:
+            self._finish_attempt(connection, _result(connection, event))
+
+    def _start_value(self, connection: PooledConnection, attempt: Attempt, length: int) -> None:
+        """Collects a short value, or forwards a long one from now on."""
+        _raise_if_unsent(connection)
+        if length <= MAX_COLLECTED_BYTES:
+            connection.collected = bytearray()
+            return
+        if attempt.sink is None:
+            raise EndpointError(f"a value of {length} bytes, which nothing can take")
+        attempt.forwarding_since = self._scheduler.clock()
+        attempt.cancel_timers()
+        if not attempt.sink.start(length):
+            self.close_connection(connection, CloseReason.CANCELLED)
+
     def _finish_attempt(self, connection: PooledConnection, result: AttemptResult) -> None:
         """Ends the attempt with its answer and keeps the connection for the next one.
 
@@ -276,14 +354,13 @@
             EndpointError: The answer arrived before its request was sent completely. It cannot
                 belong to that request, and later bytes could be mistaken for the answer to another.
         """
-        if not connection.has_sent_all():
-            raise EndpointError("the answer arrived before its request was sent")
+        _raise_if_unsent(connection)
         attempt, connection.attempt = connection.attempt, None
         assert attempt
-        connection.partial_answer_at = 0.0
+        connection.partial_answer_at, connection.collected = 0.0, None
         self._stats.dispatches += 1
         connection.reusable_from = self._scheduler.clock() + SETTLE_TIME_S
-        if connection.parser.idle():
+        if connection.parser.is_idle():
             self._make_idle(connection)
         else:
             # The answer is complete and belongs to this attempt. The bytes after it belong to no
@@ -305,13 +382,26 @@
         for endpoint in self._endpoints.values():
             while endpoint.idle and now - endpoint.idle[0].idle_since >= self._idle_timeout:
                 self.close_connection(endpoint.idle[0], CloseReason.IDLE)
-        stalled = [
-            connection
-            for connection in self._connections
-            if connection.partial_answer_at
-            and now - connection.partial_answer_at >= PARTIAL_ANSWER_TIMEOUT_S
-        ]
-        for connection in stalled:
-            # The endpoint has done the work and stopped while sending the answer; waiting for the
-            # deadline has no benefit.
-            self.close_connection(connection, CloseReason.STALLED)
+        for connection in list(self._connections):
+            silent_since, attempt = connection.partial_answer_at, connection.attempt
+            if not silent_since or attempt is None:
+                continue
+            if connection.is_forwarding:
+                if now - silent_since >= FORWARDING_STALL_S:
+                    self.close_connection(connection, CloseReason.STALLED)
+            elif now - silent_since >= PARTIAL_ANSWER_TIMEOUT_S:
+                if attempt.sink:
+                    attempt.sink.stalled()
+                else:
+                    self.close_connection(connection, CloseReason.STALLED)
+
+
+def _raise_if_unsent(connection: PooledConnection) -> None:
+    if not connection.has_sent_all():
+        raise EndpointError("the answer arrived before its request was sent")
+
+
+def _result(connection: PooledConnection, event: AnswerCompleted) -> AttemptResult:
+    """Returns the result of a complete answer; a forwarded value is not part of it."""
+    value = None if connection.collected is None else bytes(connection.collected)
+    return AttemptResult("ok", value, event.report, event.figures)
--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -33,6 +33,7 @@
 from hazelhollow.net.rate_limited_log import RateLimitedLog
 from hazelhollow.net.scheduler import Scheduler
 from hazelhollow.net.stats import Stats
+from hazelhollow.net.value_forwarding import ForwardedValue
 from hazelhollow.simulator.endpoint_reports import read_cost, read_report
 from hazelhollow.simulator.errors import WireError
 
@@ -125,15 +126,25 @@
         return opened
 
     def concurrent(self) -> int:
-        """Returns the number of accepted requests that are not answered yet."""
-        return sum([not opened.answered for opened in self.open_requests.values()])
+        """Returns the number of accepted requests whose answer has not ended yet."""
+        opened_requests = self.open_requests.values()
+        return sum([not opened.answered or bool(opened.forwarding) for opened in opened_requests])
+
+    def is_forwarding(self) -> bool:
+        """Whether a long value is being passed on to a client."""
+        return any(opened.forwarding for opened in self.open_requests.values())
 
     def client_disconnected(self, opened: OpenRequest) -> None:
         """Records that the client has disconnected and needs no answer any more.
 
         Attempts whose request has not been sent completely are withdrawn: no endpoint can have
-        started to execute it, however long the connection takes to be established.
+        started to execute it, however long the connection takes to be established. A value that is
+        being forwarded is given up.
         """
+        if opened.forwarding:
+            self._stats.clients_gone += 1
+            self._pool.abort(opened.forwarding, CloseReason.CANCELLED)
+            return
         if not opened.answered:
             self._stats.clients_gone += 1
             opened.answered = True
@@ -155,7 +166,10 @@
         self._handle(api.TimerFired(name))
 
     def _expire(self, opened: OpenRequest) -> None:
-        """Aborts all attempts at the deadline and answers if the engine has not done so."""
+        """Aborts all attempts at the deadline and answers if the engine has not done so.
+
+        Not called once a value is being forwarded: it began in time.
+        """
         for attempt in opened.attempts:
             self._pool.abort(attempt, CloseReason.TIMED_OUT)
         if not opened.answered and not self._in_engine:
@@ -166,24 +180,80 @@
         attempt, now = opened.attempts[number], self._scheduler.clock()
         opened.attempts_out -= 1
         self._stats.outcomes[result.status] += 1
-        if result.status == "ok" and not opened.answered:
+        # The time that a client takes to read a long value says nothing about the endpoint.
+        elapsed = (attempt.forwarding_since or now) - attempt.started_at
+        if opened.forwarding is attempt:
+            self._end_forwarding(opened, result.status)
+        elif result.status == "ok" and result.value is not None and not opened.answered:
             opened.answered = True
-            self._stats.served += 1
-            self._stats.reply(opened.parsed.request.class_name, "success")
-            self._stats.ok_seconds += now - attempt.started_at
+            self._count_served(opened, elapsed)
             opened.responder.send_value(result.value)
         event = api.AttemptEnded(
             opened.id,
             number,
             attempt.endpoint,
             result.status,
-            now - attempt.started_at,
+            elapsed,
             opened.answered,
             self._settled_units(result),
             read_report(result.report),
         )
         self._handle(event, opened)
 
+    def _count_served(self, opened: OpenRequest, elapsed: float) -> None:
+        self._stats.served += 1
+        self._stats.reply(opened.parsed.request.class_name, "success")
+        self._stats.ok_seconds += elapsed
+
+    # Long values
+
+    def value_started(self, opened: OpenRequest, number: int, length: int) -> bool:
+        """Begins to forward a long value as the final answer; returns whether it is wanted.
+
+        From here on the request has this attempt alone.
+        """
+        if opened.answered:
+            return False
+        attempt = opened.attempts[number]
+        opened.answered, opened.forwarding = True, attempt
+        if opened.deadline_timer:
+            opened.deadline_timer.cancel()
+        self._stats.forwarded += 1
+        for other in opened.attempts:
+            if other is not attempt:
+                self._pool.abort(other, CloseReason.CANCELLED)
+        opened.responder.start_value(length, attempt.wake_connection)
+        self._handle(api.AttemptStarted(opened.id, number, attempt.endpoint), opened)
+        return True
+
+    def _end_forwarding(self, opened: OpenRequest, status: api.Status) -> None:
+        """Ends a forwarded value: completely, or so that the client can tell that it is not."""
+        attempt, opened.forwarding = opened.forwarding, None
+        assert attempt
+        if status == "ok":
+            self._count_served(opened, attempt.forwarding_since - attempt.started_at)
+            opened.responder.complete_value()
+            return
+        if status == "cancelled":  # the client has left
+            return
+        log.info(
+            "request %s: its answer from endpoint %s broke off (%s)",
+            opened.id,
+            attempt.endpoint,
+            status,
+        )
+        self._stats.failed += 1
+        self._stats.broken_values += 1
+        self._stats.reply(opened.parsed.request.class_name, "error")
+        opened.responder.break_value()
+
+    def answer_stalled(self, opened: OpenRequest, number: int) -> None:
+        """Handles a short value that stopped arriving: the engine may try another endpoint."""
+        if opened.answered:
+            self._pool.abort(opened.attempts[number], CloseReason.STALLED)
+        else:
+            self._handle(api.AnswerStalled(opened.id, number), opened)
+
     def _settled_units(self, result: AttemptResult) -> float:
         """Returns the units that the request used according to the endpoint, 0 if not given.
 
@@ -263,7 +333,11 @@
 
     def _cancel(self, action: api.CancelAttempt) -> None:
         opened = self.open_requests.get(action.id)
-        if opened and action.attempt < len(opened.attempts):
+        if (
+            opened
+            and action.attempt < len(opened.attempts)
+            and opened.attempts[action.attempt] is not opened.forwarding
+        ):
             self._pool.abort(opened.attempts[action.attempt], CloseReason.CANCELLED)
 
     def _reject(self, action: api.RejectRequest) -> None:
@@ -301,6 +375,7 @@
             opened.parsed.command(max(1, round(timeout * 1000))),
             lambda result: self._attempt_ended(opened, number, result),
             lambda: self._check_no_answer_needed(opened),
+            ForwardedValue(self, opened, number),
         )
         opened.attempts.append(attempt)
         if action.send_by < now + timeout:
--- a/hazelhollow/net/frontend.py
+++ b/hazelhollow/net/frontend.py
@@ -19,6 +19,7 @@
 from hazelhollow.net.session import MAX_UNSENT_BYTES, Session
 from hazelhollow.net.session_table import SessionTable
 from hazelhollow.net.stats import Stats
+from hazelhollow.net.value_forwarding import ForwardingWindow
 
 MAX_ACCEPTS_PER_TURN = 16  # connections, before other tasks run
 LISTEN_BACKLOG = 1024
@@ -35,12 +36,14 @@
         max_sessions: The maximum number of concurrent client connections.
         max_used_sessions: The maximum number of those that have sent a command.
         max_held_bytes: The maximum memory held for all clients together.
+        max_forwarding_bytes: The part of it for values that are being forwarded.
     """
 
     listen: tuple[str, int]
     max_sessions: int
     max_used_sessions: int
     max_held_bytes: int
+    max_forwarding_bytes: int
 
 
 class Frontend:
@@ -49,6 +52,7 @@
     Attributes:
         request_limits: What the settings allow in a request; replaced when the settings change.
         sessions: The clients' connections.
+        forwarding: Bounds the memory of long values on their way to clients.
         address: The address that the socket listens on.
         close_idle_endpoint_connection: Frees a descriptor by closing an idle connection to an
             endpoint; returns whether there was one.
@@ -71,6 +75,7 @@
         self.request_limits = request_limits
         self.sessions = SessionTable(limits.max_sessions, limits.max_used_sessions)
         self._max_held_bytes = limits.max_held_bytes
+        self.forwarding = ForwardingWindow(limits.max_forwarding_bytes)
         self.close_idle_endpoint_connection: Callable[[], bool] = lambda: False
         self._ready = False
         self._waiting_for_ready: list[Callable[[], None]] = []
--- a/hazelhollow/net/graceful_shutdown.py
+++ b/hazelhollow/net/graceful_shutdown.py
@@ -31,10 +31,11 @@
    side is closed and the limiter waits up to 1 s (`session.LINGER_S`) for the client to close, so
    that the last answer is not lost to a reset.
 5. STOPPED: all clients' connections are closed, or the longest deadline of any class plus LINGER_S
-   has passed since 0.7 s. Only then are the attached subsystems stopped, which may wait up to 1 s
-   for the disk, and the connections to endpoints closed. Any attempt that is still in flight
-   belongs to a request that was already answered or whose client does not read its answer. The
-   scheduler stops, the counters are printed, and the exit status is 0.
+   has passed since 0.7 s and no long value is being forwarded any more. Only then are the attached
+   subsystems stopped, which may wait up to 1 s for the disk, and the connections to endpoints
+   closed. Any attempt that is still in flight belongs to a request that was already answered or
+   whose client does not read its answer. The scheduler stops, the counters are printed, and the
+   exit status is 0.
 
 A second signal has no effect. The shutdown itself never ends a request early, with one exception: a
 request of a class that a reload has removed, if its deadline is longer than that of every remaining
@@ -44,6 +45,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
@@ -85,8 +87,11 @@
         frontend: Frontend,
         pool: ConnectionPool,
         attachment: Attachment | None,
+        is_forwarding: Callable[[], bool] = lambda: False,
     ) -> None:
+        """`is_forwarding`: whether a long value is on its way to a client, which is not cut off."""
         self._scheduler, self._frontend = scheduler, frontend
+        self._is_forwarding = is_forwarding
         self._pool, self._attachment = pool, attachment
         self.state = ShutdownState.SERVING
 
@@ -112,7 +117,9 @@
         # expected to read it.
         longest_deadline = max(self._frontend.request_limits.longest_deadline.values(), default=0.0)
         until = began_at + STOP_ACCEPTING_AFTER_S + longest_deadline + LINGER_S
-        while not self._frontend.sessions.is_empty() and self._scheduler.clock() < until:
+        while not self._frontend.sessions.is_empty() and (
+            self._scheduler.clock() < until or self._is_forwarding()
+        ):
             self._frontend.finish(accepting_commands=False)
             self._scheduler.sleep(POLL_INTERVAL_S)
         self.state = ShutdownState.STOPPED
--- a/hazelhollow/net/open_request.py
+++ b/hazelhollow/net/open_request.py
@@ -8,10 +8,13 @@
 | IN_FLIGHT | no | one or more | a successful answer, a rejection or a failure: ANSWERED |
 | WAITING | no | none | a retry: IN_FLIGHT. A rejection or failure: ENDED |
 | ANSWERED | yes | one or more | the last attempt ends or is cancelled: ENDED |
+| FORWARDING | yes | one, `forwarding` | its answer ends or breaks off, its client leaves: ENDED |
 | ENDED | yes | none | the record is dropped |
 
-IN_FLIGHT changes to WAITING when the last attempt that is out ends without a successful answer. Two
-more events apply in every state but ENDED:
+IN_FLIGHT changes to FORWARDING when an attempt's long value begins: it is the final answer, and
+neither the deadline nor another attempt applies any more. IN_FLIGHT changes to WAITING when the
+last attempt that is out ends without a successful answer. Two more events apply in every state but
+ENDED:
 
 - the client disconnects: `answered` is set, and attempts whose requests have not been sent
   completely are withdrawn;
@@ -25,6 +28,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from hazelhollow.decisions import interface as api
@@ -35,7 +39,9 @@
 class Responder(Protocol):
     """The client side of one request, independent of the client's protocol.
 
-    Exactly one of the three `send_...` methods is called, once, unless the client disconnects.
+    Exactly one of the three `send_...` methods is called, once, unless the client disconnects. A
+    long value takes their place: `start_value`, then `write_value` as far as there is room, then
+    either `complete_value` or `break_value`.
     """
 
     def send_value(self, value: bytes) -> None:
@@ -47,6 +53,21 @@
     def send_failure(self) -> None:
         """Reports that the request failed; it may nevertheless have been executed."""
 
+    def start_value(self, length: int, on_room: Callable[[], object]) -> None:
+        """Begins a value of `length` bytes. `on_room` is called when `value_room` grows from 0."""
+
+    def value_room(self) -> int:
+        """Returns how many bytes of the value may be written now."""
+
+    def write_value(self, data: bytes) -> None:
+        """Writes the next bytes of the value."""
+
+    def complete_value(self) -> None:
+        """Ends the value: all bytes were written, and the endpoint's answer was sound."""
+
+    def break_value(self) -> None:
+        """Ends the value so that the client can tell that it is not complete."""
+
     def has_disconnected(self) -> bool:
         """Whether the client has disconnected, according to the operating system.
 
@@ -71,7 +92,8 @@
         deadline: When the client stops waiting (clock).
         attempts: All attempts started so far, indexed by their numbers.
         attempts_out: How many attempts have no result yet.
-        answered: Whether the final answer was sent or the client has disconnected.
+        answered: Whether the final answer was sent or begun, or the client has disconnected.
+        forwarding: The attempt whose value is being forwarded to the client; None if there is none.
         deadline_timer: Fires at the deadline; None for a request that was answered immediately.
     """
 
@@ -83,6 +105,7 @@
         "attempts",
         "attempts_out",
         "answered",
+        "forwarding",
         "deadline_timer",
         "__weakref__",
     )
@@ -95,4 +118,5 @@
         self.attempts: list[Attempt] = []
         self.attempts_out = 0
         self.answered = False
+        self.forwarding: Attempt | None = None
         self.deadline_timer: Timer | None = None
--- a/hazelhollow/net/pooled_connection.py
+++ b/hazelhollow/net/pooled_connection.py
@@ -5,7 +5,8 @@
 | state | attempt | in poll's list | left by |
 | --- | --- | --- | --- |
 | CONNECTING | yes | for writing | it is up: BUSY. Refused, or not up in time: CLOSED |
-| BUSY | yes | for reading | a complete answer: SETTLING. Timeout, cancellation, reset: CLOSED |
+| BUSY | yes | for reading | a complete answer: SETTLING. A long value: FORWARDING. Else: CLOSED |
+| FORWARDING | yes | for reading, while the sink has room | as BUSY, without a timeout |
 | SETTLING | no | no | 0.03 s pass: IDLE. Bytes after the answer: CLOSED |
 | IDLE | no | no | a new attempt: BUSY. Idle too long, or its descriptor is needed: CLOSED |
 | CLOSED | no | no | |
@@ -24,7 +25,8 @@
 
 from typing import TYPE_CHECKING
 
-from hazelhollow.net import resp, stream
+from hazelhollow.net import stream
+from hazelhollow.net.answer_parser import AnswerParser
 
 if TYPE_CHECKING:
     from hazelhollow.net.attempts import Attempt
@@ -38,7 +40,9 @@
         attempt: The attempt in flight on the connection; None in SETTLING and IDLE.
         stream: The socket; None until it has been created.
         idle_since: When the last attempt ended (clock).
-        partial_answer_at: When the last bytes of an incomplete answer arrived (clock); 0 if none.
+        partial_answer_at: When the last bytes of an incomplete answer arrived, or the sink of a
+            forwarded value got room again (clock); 0 if none, or if the sink has no room.
+        collected: The bytes of a short value that have arrived; None if none has begun.
         reusable_from: When SETTLING ends (clock).
     """
 
@@ -48,6 +52,7 @@
         "stream",
         "idle_since",
         "parser",
+        "collected",
         "partial_answer_at",
         "reusable_from",
         "_sent_before",
@@ -58,12 +63,18 @@
         self.endpoint = endpoint
         self.attempt: Attempt | None = None
         self.stream: stream.Stream | None = None
-        self.parser = resp.Parser()
+        self.parser = AnswerParser()
+        self.collected: bytearray | None = None
         self.idle_since = 0.0
         self.partial_answer_at = 0.0
         self.reusable_from = 0.0
         self._sent_before = 0  # bytes sent on the connection before this attempt
 
+    @property
+    def is_forwarding(self) -> bool:
+        """Whether the attempt's value is being forwarded to its sink."""
+        return self.attempt is not None and self.attempt.forwarding_since > 0
+
     def set_stream(self, new: stream.Stream) -> None:
         """Sets the socket before it is connected, so that it can be closed while connecting."""
         self.stream = new
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -53,6 +53,7 @@
 USED_SESSIONS_SHARE = 0.25
 MIN_USED_SESSIONS = 4
 CLIENT_MEMORY_SHARE = 0.25  # of the memory limit, for all clients' connections together
+FORWARDING_MEMORY_SHARE = 0.125  # of the memory limit, for long values on their way to clients
 
 log = logging.getLogger(__name__)
 
@@ -104,7 +105,9 @@
             scheduler, override_file, self.engine_driver.notify, self._update_pool
         )
         self.overrides.poll_file()
-        self.shutdown = GracefulShutdown(scheduler, self.frontend, self.pool, attachment)
+        self.shutdown = GracefulShutdown(
+            scheduler, self.frontend, self.pool, attachment, self.engine_driver.is_forwarding
+        )
         self.operator_address = (
             OperatorAddress(scheduler, self.stats, OperatorConsole(self), config.operator)
             if config.operator
@@ -140,6 +143,7 @@
             max_sessions=_share(descriptors, CLIENTS_DESCRIPTOR_SHARE),
             max_used_sessions=max(MIN_USED_SESSIONS, int(config.sockets * USED_SESSIONS_SHARE)),
             max_held_bytes=int(config.memory_mb * 2**20 * CLIENT_MEMORY_SHARE),
+            max_forwarding_bytes=int(config.memory_mb * 2**20 * FORWARDING_MEMORY_SHARE),
         )
         request_limits = RequestLimits(config.settings)
         return Frontend(self.scheduler, self.stats, self.engine_driver, request_limits, limits)
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -29,6 +29,7 @@
 from hazelhollow.net.scheduler import PEER_CLOSED, READABLE, SOCKET_ERROR, TIMED_OUT, WOKEN
 from hazelhollow.net.session_input import SessionInput
 from hazelhollow.net.unserved_command_limit import UnservedCommandLimit
+from hazelhollow.net.value_forwarding import MAX_WINDOW_BYTES
 
 if TYPE_CHECKING:
     from hazelhollow.net.frontend import Frontend
@@ -76,6 +77,8 @@
         self.accepting_commands = True
         self._input = SessionInput(connection, self.reader)
         self._linger_reason: CloseReason | None = None  # why the sending side was closed
+        self._break_reason: CloseReason | None = None  # why the task has to end the session
+        self._forwarded_values = 0  # of this session, that have begun and not ended
 
     def run(self) -> None:
         """Serves the session from its first byte to its end; the body of its task."""
@@ -101,6 +104,8 @@
         frontend = self._frontend
         frontend.sessions.remove(self)
         slots, self.slots = self.slots, deque()
+        frontend.forwarding.active -= self._forwarded_values
+        self._forwarded_values = 0
         orderly = reason in ORDERLY_REASONS and not slots
         if orderly:
             self._stream.shutdown_send()
@@ -224,6 +229,8 @@
                 slots[0].answer = rest
             else:
                 slots.popleft()
+        if slots and slots[0].on_room and self._stream.room_below(self._window()) > 0:
+            slots[0].on_room()
         if not slots:
             self.idle_since = self._frontend.scheduler.clock()
             self._frontend.sessions.set_idle(self, self.idle_since)
@@ -231,10 +238,47 @@
         if self.finishing or self.reader.stopped or has_free_slot:
             self._stream.wake()
 
+    # Long values, which are written while they arrive
+
+    def start_value(self) -> None:
+        """Counts a value whose forwarding begins."""
+        self._forwarded_values += 1
+        self._frontend.forwarding.active += 1
+
+    def end_value(self) -> None:
+        """Counts a value whose forwarding has ended."""
+        if self._forwarded_values:
+            self._forwarded_values -= 1
+            self._frontend.forwarding.active -= 1
+
+    def value_room(self, slot: AnswerSlot) -> int:
+        """Returns how many bytes of a slot's value may be written now."""
+        if not self.slots or self.slots[0] is not slot:
+            return 0
+        return self._stream.room_below(self._window())
+
+    def write_value(self, data: bytes) -> None:
+        """Writes bytes of the first slot's value."""
+        self._stream.write(data)
+
+    def break_off(self) -> None:
+        """Closes the connection: the client must not take an incomplete value for a complete one.
+
+        What was written before is sent first.
+        """
+        self._break_reason = CloseReason.CLOSED
+        self._stream.wake()
+
+    def _window(self) -> int:
+        return min(self._frontend.forwarding.size(), MAX_WINDOW_BYTES)
+
     def _serve(self) -> CloseReason:
         """Reads and executes commands until the connection has to end; returns the reason."""
         connection = self._stream
         while connection.close_reason is None and not self._linger_reason:
+            if self._break_reason:
+                connection.flush()
+                return self._break_reason
             if self.reader.stopped or self.finishing:
                 connection.flush()
                 self._stop_accepting_if_due()
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -39,6 +39,8 @@
         self.reused = 0  # on an open connection
         self.opened = 0  # on a new connection
         self.no_descriptor = 0
+        self.forwarded = 0  # long values that began to be passed on
+        self.broken_values = 0  # of those, the ones that were not completed
         self.ok_seconds = 0.0  # total duration of successful attempts
         self.settled = 0  # answers that reported the units used
         self.figures_bad = 0  # answers with invalid usage figures
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -24,6 +24,11 @@
 )
 
 READ_CHUNK_BYTES = 64 * 1024
+# Of the operating system's buffers, which would otherwise grow to several MiB for each connection:
+# with many slow readers that is far more memory than the process itself may use. The receive buffer
+# holds several segments of the loopback device, or its window would be announced late.
+SYSTEM_SEND_BUFFER_BYTES = 128 * 1024
+SYSTEM_RECEIVE_BUFFER_BYTES = 256 * 1024
 ACCEPT_PAUSE_S = 0.05  # when no descriptor is left
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -60,6 +65,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError:
         return CloseReason.NO_DESCRIPTOR
+    # before the connection is up, since it bounds the window that is announced then
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SYSTEM_RECEIVE_BUFFER_BYTES)
     return Stream(scheduler, sock, max_unsent)
 
 
@@ -109,6 +116,7 @@
         """`max_unsent`: the maximum number of bytes in the send buffer."""
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SYSTEM_SEND_BUFFER_BYTES)
         self.scheduler, self._sock, self._fd = scheduler, sock, sock.fileno()
         self.send_buffer = RingBuffer(max_unsent)
         self.bytes_sent = 0
@@ -228,6 +236,18 @@
         self._room_refused_at = self.bytes_sent
         return False
 
+    def room_below(self, limit: int) -> int:
+        """Returns how many bytes may be written before the send buffer holds `limit` bytes.
+
+        Returns 0 while it is more than half full, so that few large pieces are written and not many
+        small ones. After 0, the task's `wait` returns as with `has_room`.
+        """
+        held = len(self.send_buffer)
+        if 2 * held <= limit:
+            return limit - held
+        self._room_refused_at = self.bytes_sent
+        return 0
+
     def _has_new_room(self) -> bool:
         return self._room_refused_at is not None and self.bytes_sent > self._room_refused_at
 
--- a/hazelhollow/scale/modelled_endpoints.py
+++ b/hazelhollow/scale/modelled_endpoints.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from hazelhollow.decisions import interface as api
-from hazelhollow.net.attempts import Attempt, AttemptResult
+from hazelhollow.net.attempts import Attempt, AttemptResult, ValueSink
 from hazelhollow.net.close_reason import CloseReason, attempt_status
 from hazelhollow.net.connection_pool import ConnectionPool
 from hazelhollow.net.scheduler import Scheduler
@@ -32,10 +32,12 @@
         command: bytes,
         done: Callable[[AttemptResult], None],
         look: Callable[[], object] = lambda: None,
+        sink: ValueSink | None = None,
     ) -> Attempt:
         """Starts an attempt; its request counts as completely sent at once."""
         now = self._scheduler.clock()
         attempt = Attempt(name, command, done, look, now)
+        attempt.sink = sink
         self._scheduler.at(now + service_time(self._rng, self._service_s), self.answer, attempt)
         return attempt
 
@@ -74,6 +76,22 @@
     def send_failure(self) -> None:
         """Discards an error."""
 
+    def start_value(self, length: int, on_room: Callable[[], object]) -> None:
+        """Never called: modelled servers return short values."""
+
+    def value_room(self) -> int:
+        """Returns 0: nothing is forwarded."""
+        return 0
+
+    def write_value(self, data: bytes) -> None:
+        """Never called."""
+
+    def complete_value(self) -> None:
+        """Never called."""
+
+    def break_value(self) -> None:
+        """Never called."""
+
     def has_disconnected(self) -> bool:
         """Returns False: modelled clients wait for their answer."""
         return False
