One strict grammar each for requests, answers, lists, HTTP and datagrams

Cause: parsers returned what they could make of the bytes: int() and isinstance(bytes) accept more than the protocol, and SimpleString and ErrorReply are bytes. Change: RESP lengths in RESP2's form only; arguments must be bulk strings; field names, numbers and keys by regular expressions; list entries by type; RFC 9112's forms for discovery's answers (chunk ends, sizes, doubled framing); gossip's alphabet without digits of other scripts and leading zeros.

--- a/hazelhollow/decisions/gossip/codec.py
+++ b/hazelhollow/decisions/gossip/codec.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Collection, Sequence
 from typing import NamedTuple, Union
 from zlib import crc32
@@ -30,6 +31,8 @@
 _TAG_COUNT = 36**3
 _INCARNATION_TENTHS = 36**3  # names of incarnations repeat after this many tenths of a second
 _MAX_WAIT_DIGIT = 35
+_ALPHABET = re.compile(r"[0-9a-z:/!= ]+")  # int() also accepts digits of other alphabets
+_NUMBER = re.compile(r"0|[1-9a-z][0-9a-z]*")  # no leading zero
 _DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
 
 
@@ -208,6 +211,7 @@
             if (
                 len(text) > MAX_DATAGRAM_BYTES
                 or header[0] not in (DIALECT, PREVIOUS_DIALECT)
+                or not _ALPHABET.fullmatch(text)
                 or not header.isalnum()
             ):
                 return None
@@ -229,6 +233,8 @@
         if not text.replace(separator, "").isalnum():  # int() also accepts signs and spaces
             raise ValueError(text)
         int(name, 36)
+        if not all(map(_NUMBER.fullmatch, rest)):
+            raise ValueError(text)
         numbers = [int(part, 36) for part in rest]
         if separator == ":" and len(numbers) in (5, 6):
             _, set_start, set_size, age, total, *open_requests = numbers
--- a/hazelhollow/net/command_reader.py
+++ b/hazelhollow/net/command_reader.py
@@ -138,7 +138,7 @@
         self.has_more = True
 
     def _execute(self, arguments: list[bytes], slot: AnswerSlot) -> None:
-        verb, frontend = arguments[0].upper(), self._frontend
+        verb, frontend = arguments[0], self._frontend
         if verb in REQUEST_COMMANDS:
             arrived_since = self.arrived_since
             if frontend.is_ready():
@@ -150,6 +150,7 @@
                 frontend.when_ready(lambda: self._submit(arguments, slot, arrived_since))
             return
         slot.session.unserved_command_limit.spend()
+        verb = verb.upper()
         if verb == b"PING":
             frontend.when_ready(lambda: slot.set_answer(b"+PONG\r\n"))
         elif verb in (b"CLIENT", b"SELECT"):
@@ -179,6 +180,6 @@
 
 def _arguments(value: resp.Value) -> list[bytes]:
     """Returns the arguments of a command; raises ProtocolError if the value is not a command."""
-    if not isinstance(value, list) or not value or not all(isinstance(w, bytes) for w in value):
+    if not isinstance(value, list) or not value or not all(map(resp.is_bulk_string, value)):
         raise ProtocolError("a command must be a non-empty array of strings")
-    return [w for w in value if isinstance(w, bytes)]
+    return [word for word in value if resp.is_bulk_string(word)]
--- a/hazelhollow/net/endpoint_list.py
+++ b/hazelhollow/net/endpoint_list.py
@@ -12,7 +12,10 @@
 
 from __future__ import annotations
 
+import ipaddress
 import logging
+import math
+import re
 from typing import Any
 
 from hazelhollow.decisions import interface as api
@@ -25,6 +28,8 @@
     "terminated": "gone",
 }
 
+_NAME = re.compile(r"[!-~]{1,128}")
+
 log = logging.getLogger(__name__)
 
 
@@ -64,11 +69,7 @@
         Raises:
             EndpointListError: The document is malformed or outdated; the list is unchanged.
         """
-        try:
-            version, is_snapshot = int(document["index"]), bool(document["snapshot"])
-            raw_entries = list(document["endpoints"])
-        except (KeyError, TypeError, ValueError) as error:
-            raise EndpointListError(f"not a routing table: {error!r}") from None
+        version, is_snapshot, raw_entries = _read_document(document)
         if not is_snapshot and version < min_version:
             raise EndpointListError(
                 f"change to version {version} is older than the list's version {min_version}"
@@ -96,13 +97,28 @@
         }
 
 
+def _read_document(document: Any) -> tuple[int, bool, list[Any]]:
+    """Returns the version, whether the list is complete, and its entries; all types are checked."""
+    if not isinstance(document, dict):
+        raise EndpointListError("not a routing table: no object")
+    version, is_snapshot = document.get("index"), document.get("snapshot")
+    entries = document.get("endpoints")
+    if type(version) is not int or version < 0:
+        raise EndpointListError(f"not a routing table: index {version!r}")
+    if type(is_snapshot) is not bool:
+        raise EndpointListError(f"not a routing table: snapshot {is_snapshot!r}")
+    if not isinstance(entries, list):
+        raise EndpointListError("not a routing table: no list of endpoints")
+    return version, is_snapshot, entries
+
+
 def _parse_entries(
     raw_entries: list[Any], skip_unreadable: bool
 ) -> list[tuple[api.EndpointEntry, tuple[str, int]]]:
     parsed = []
     for raw in raw_entries:
         try:
-            parsed.append((_parse_entry(raw), parse_address(raw["address"])))
+            parsed.append((_parse_entry(raw), _parse_endpoint_address(raw["address"])))
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             log.warning("discovery: cannot read an entry of the endpoint list: %r", error)
             if not skip_unreadable:
@@ -111,12 +127,32 @@
 
 
 def _parse_entry(raw: Any) -> api.EndpointEntry:
-    name, group = str(raw["name"]), raw.get("group")
+    """Parses an entry; raises KeyError, TypeError or ValueError if a value has another form."""
+    name, zone, group = raw["name"], raw.get("zone", ""), raw.get("group")
+    if not isinstance(name, str) or not _NAME.fullmatch(name) or not isinstance(zone, str):
+        raise ValueError(f"name {name!r}, zone {zone!r}")
+    if group is not None and (type(group) is not int or group < 0):
+        raise ValueError(f"group {group!r}")
     return api.EndpointEntry(
         name=name,
         state=_STATES[raw["status"]],
-        zone=str(raw.get("zone", "")),
-        cell=api.unknown_cell(name) if group is None else int(group),
-        weight=float(raw.get("weight", 1.0)),
-        started=float(raw.get("since_ms", 0)) / 1000.0,
+        zone=zone,
+        cell=api.unknown_cell(name) if group is None else group,
+        weight=_parse_number(raw.get("weight", 1.0)),
+        started=_parse_number(raw.get("since_ms", 0)) / 1000.0,
     )
+
+
+def _parse_number(value: Any) -> float:
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        raise ValueError(f"number {value!r}")
+    return float(value)
+
+
+def _parse_endpoint_address(text: Any) -> tuple[str, int]:
+    """Parses `IPv4:port`. A host name would be looked up by the event loop."""
+    if not isinstance(text, str):
+        raise TypeError(f"address {text!r}")
+    host, port = parse_address(text)
+    ipaddress.IPv4Address(host)
+    return host, port
--- a/hazelhollow/net/http1.py
+++ b/hazelhollow/net/http1.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import re
+
 from hazelhollow.net.errors import ProtocolError, RingBufferFullError
 from hazelhollow.net.ring_buffer import RingBuffer
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Grammar of RFC 9112, without obsolete line folding.
+_STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([1-9][0-9]{2})( [\t -~\x80-\xff]*)?")
+_FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t -~\x80-\xff]*?)[ \t]*")
+_FRAMING_FIELDS = (b"content-length", b"transfer-encoding")
+_LENGTH = re.compile(rb"[0-9]{1,19}")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[\t -~\x80-\xff]*)?")
 
 
 def get(target: str, host: str) -> bytes:
@@ -111,26 +119,24 @@
         if at < 0:
             return False
         first, *lines = self.ring.consume(at + 4)[:-4].split(b"\r\n")
-        parts = first.split(b" ", 2)
-        if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
+        status = _STATUS_LINE.fullmatch(first)
+        if not status:
             raise ProtocolError("malformed HTTP/1.1 status line")
-        fields: dict[bytes, bytes] = {}
-        for line in lines:
-            name, colon, value = line.partition(b":")
-            if not colon:
-                raise ProtocolError("HTTP header without a colon")
-            fields[name.strip().lower()] = value.strip()
+        fields = _read_fields(lines)
         connection = fields.get(b"connection", b"").lower()
-        self._status = int(parts[1])
+        self._status = int(status[2])
         self._keep_alive = (
-            connection == b"keep-alive" if parts[0] == b"HTTP/1.0" else connection != b"close"
+            connection == b"keep-alive" if status[1] == b"0" else connection != b"close"
         )
-        self._chunked = fields.get(b"transfer-encoding", b"").lower() == b"chunked"
+        coding = fields.get(b"transfer-encoding", b"").lower()
+        self._chunked = coding == b"chunked"
+        if coding and (not self._chunked or b"content-length" in fields):
+            raise ProtocolError("a transfer coding other than chunked, or beside a length")
         bodiless = self._status < 200 or self._status in (204, 304)
         self._until_close = not (self._chunked or bodiless or b"content-length" in fields)
         self._keep_alive = self._keep_alive and not self._until_close
         length = fields.get(b"content-length", b"0")
-        if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+        if not _LENGTH.fullmatch(length) or int(length) > MAX_BODY_BYTES:
             raise ProtocolError(f"Content-Length is not a number up to {MAX_BODY_BYTES}")
         self._bytes_left = -1 if self._chunked else int(length)
         return True
@@ -146,7 +152,10 @@
             if self._bytes_left >= 0:
                 if len(self.ring) < self._bytes_left + 2:
                     return False
-                self._body += self.ring.consume(self._bytes_left + 2)[:-2]
+                chunk = self.ring.consume(self._bytes_left + 2)
+                if chunk[-2:] != b"\r\n":
+                    raise ProtocolError("HTTP chunk not terminated by CRLF")
+                self._body += chunk[:-2]
                 if len(self._body) > MAX_BODY_BYTES:
                     raise ProtocolError(f"HTTP body longer than {MAX_BODY_BYTES} bytes")
                 self._bytes_left = -1
@@ -158,10 +167,33 @@
                 if not line:
                     return True
                 continue
-            try:
-                size = int(line.split(b";")[0], 16)
-            except ValueError:
-                raise ProtocolError("malformed HTTP chunk size") from None
-            if not 0 <= size <= MAX_BODY_BYTES:
-                raise ProtocolError(f"HTTP chunk size is not between 0 and {MAX_BODY_BYTES} bytes")
+            size = _read_chunk_size(line)
             self._bytes_left, self._in_trailer = (size, False) if size else (-1, True)
+
+
+def _read_chunk_size(line: bytes) -> int:
+    match = _CHUNK_SIZE.fullmatch(line)
+    if not match:
+        raise ProtocolError("malformed HTTP chunk size")
+    size = int(match[1], 16)
+    if size > MAX_BODY_BYTES:
+        raise ProtocolError(f"HTTP chunk larger than {MAX_BODY_BYTES} bytes")
+    return size
+
+
+def _read_fields(lines: list[bytes]) -> dict[bytes, bytes]:
+    """Returns the header fields by lower-case name.
+
+    Raises:
+        ProtocolError: A line is malformed, or the framing is given twice with different values.
+    """
+    fields: dict[bytes, bytes] = {}
+    for line in lines:
+        match = _FIELD_LINE.fullmatch(line)
+        if not match:
+            raise ProtocolError("malformed HTTP header field")
+        name, value = match[1].lower(), match[2]
+        if name in _FRAMING_FIELDS and fields.get(name, value) != value:
+            raise ProtocolError(f"HTTP header field {name.decode()} twice with different values")
+        fields[name] = value
+    return fields
--- a/hazelhollow/net/requests.py
+++ b/hazelhollow/net/requests.py
@@ -11,8 +11,12 @@
 | `units` | units that the request takes from the quota | `units` |
 | `spread` | how many limiters the customer's requests are spread over | `set_size` |
 | `first` | the id of the first of these limiters | `set_start` |
-| `k` | idempotency key, for classes of effect `keyed` | forwarded unchanged |
-| `r` | 1 for a client's retry | `is_retry` |
+| `k` | idempotency key, for classes of effect `keyed` only | forwarded unchanged |
+| `r` | 1 for a client's retry, else absent | `is_retry` |
+
+Fields come in any order, each once; there are no others. Numbers have no sign and no leading zero.
+A request that departs from this is answered with an error and reaches no endpoint, which would take
+it for something that no client has sent.
 """
 
 from __future__ import annotations
@@ -27,8 +31,12 @@
 
 _CUSTOMER = re.compile(rb"0{7}[01][0-9a-f]{8}")  # 16 hex digits, a number below 2**33
 _ID = re.compile(rb"[!-~]{1,64}")
-_INTEGER = re.compile(r"[0-9]{1,9}")
-_UNITS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_KEY = re.compile(r"[!-+\--~]{1,64}")  # printable, and no comma
+_INTEGER = re.compile(r"0|[1-9][0-9]{0,8}")
+_UNITS = re.compile(r"(0|[1-9][0-9]{0,8})(\.[0-9]{1,9})?")  # an estimate may be a fraction
+_REQUIRED_FIELDS = frozenset({"c", "t", "d", "units", "spread", "first"})
+_OPTIONAL_FIELDS = frozenset({"k", "r"})
+_RETRY_MARK = "1"
 
 
 class RequestLimits:
@@ -70,28 +78,20 @@
         Raises:
             BadCommandError: The command contains something that is not allowed.
         """
-        if len(arguments) != (5 if arguments[0].upper() == b"Q.DO" else 4):
+        if len(arguments) != (5 if arguments[0] == b"Q.DO" else 4):
             raise BadCommandError("wrong number of arguments")
         if not _CUSTOMER.fullmatch(arguments[1]) or not _ID.fullmatch(arguments[2]):
             raise BadCommandError("no such customer, or no id")
-        try:
-            items = [item.split("=", 1) for item in arguments[3].decode("ascii").split(",")]
-            fields = dict(items)
-            kind, plan = self.classes.get(fields["c"]), fields["t"]
-            wait_ms, spread, first = fields["d"], fields["spread"], fields["first"]
-            units = fields["units"]
-        except (KeyError, ValueError):
-            raise BadCommandError("unreadable request") from None
-        if len(fields) != len(items):
-            raise BadCommandError("a field comes twice")
+        fields = _read_fields(arguments[3])
+        kind, plan = self.classes.get(fields["c"]), fields["t"]
+        wait_ms, units = fields["d"], fields["units"]
         if kind is None or plan not in self._plans:
             raise BadCommandError("no such class or plan")
-        if (kind.effect == "safe") != (len(arguments) == 4) or (
-            kind.effect == "keyed" and not fields.get("k")
-        ):
+        if (kind.effect == "safe") != (len(arguments) == 4):
             raise BadCommandError("not the command for this class")
+        _check_key(fields.get("k"), kind)
         self._check_numbers(kind.name, wait_ms, units)
-        self._check_set(spread, first)
+        self._check_set(fields["spread"], fields["first"])
         return api.RequestArrived(
             id=arguments[2].decode("ascii"),
             class_name=kind.name,
@@ -99,9 +99,9 @@
             customer=arguments[1].decode("ascii"),
             units=float(units),
             time_left=int(wait_ms) / 1000.0 - waited,
-            set_start=int(first),
-            set_size=int(spread),
-            is_retry=fields.get("r") == "1",
+            set_start=int(fields["first"]),
+            set_size=int(fields["spread"]),
+            is_retry="r" in fields,
         )
 
     def _check_numbers(self, class_name: str, wait_ms: str, units: str) -> None:
@@ -118,6 +118,31 @@
             raise BadCommandError("set out of range")
 
 
+def _read_fields(text: bytes) -> dict[str, str]:
+    """Returns the fields by name; raises BadCommandError if a name is wrong, missing or twice."""
+    try:
+        items = [item.split("=", 1) for item in text.decode("ascii").split(",")]
+        fields = dict(items)
+    except ValueError:
+        raise BadCommandError("unreadable request") from None
+    if len(fields) != len(items):
+        raise BadCommandError("a field comes twice")
+    names = fields.keys()
+    if not names >= _REQUIRED_FIELDS or names - _REQUIRED_FIELDS - _OPTIONAL_FIELDS:
+        raise BadCommandError("unreadable request")
+    if fields.get("r", _RETRY_MARK) != _RETRY_MARK:
+        raise BadCommandError("r is 1 or absent")
+    return fields
+
+
+def _check_key(key: str | None, kind: api.RequestClass) -> None:
+    """Raises BadCommandError if a keyed class has no usable key, or another class has one."""
+    if (key is not None) != (kind.effect == "keyed"):
+        raise BadCommandError("a key belongs to keyed classes, and to each of their requests")
+    if key is not None and not _KEY.fullmatch(key):
+        raise BadCommandError("unreadable key")
+
+
 class ParsedRequest:
     """A parsed request command, which can be encoded again with only the wait changed.
 
--- a/hazelhollow/net/resp.py
+++ b/hazelhollow/net/resp.py
@@ -1,6 +1,9 @@
 """RESP2, the protocol of Redis: an incremental parser with size limits, and encoders.
 
-The module is independent of sockets.
+The module is independent of sockets. Its grammar is RESP2's and nothing more: a length has no sign
+and no leading zero (`-1` alone stands for null), and a line contains neither CR nor LF.
+`SimpleString` and `ErrorReply` are bytes for convenience; whoever needs a length-prefixed string
+compares the type itself (`is_bulk_string`).
 
 | first byte | value | in Python |
 | --- | --- | --- |
@@ -14,7 +17,7 @@
 from __future__ import annotations
 
 import re
-from typing import Final, Union
+from typing import Final, TypeGuard, Union
 
 from hazelhollow.net.errors import ProtocolError, RingBufferFullError
 from hazelhollow.net.ring_buffer import RingBuffer
@@ -46,7 +49,8 @@
 Value = Union[bytes, int, None, list["Value"]]
 NEED_MORE_DATA: Final = NeedMoreData()
 _HEADER: Final = _Header()
-_NUMBER = re.compile(rb"-?[0-9]{1,19}")
+_NUMBER = re.compile(rb"[+-]?[0-9]{1,19}")
+_LENGTH = re.compile(rb"-1|0|[1-9][0-9]{0,18}")
 _ASTERISK = 42
 
 
@@ -153,6 +157,8 @@
         if not 0 < at <= MAX_LINE_BYTES:
             raise ProtocolError("line empty or too long")
         line = self.ring.consume(at + 2)[:-2]
+        if b"\n" in line or b"\r" in line:
+            raise ProtocolError("line contains CR or LF")
         kind = line[:1]
         if kind == b"$":
             return self._open_string(line)
@@ -188,14 +194,19 @@
 
 def _length(line: bytes, max_length: int) -> int:
     """Returns the length in a header line; -1 stands for the null string or array."""
-    if not _NUMBER.fullmatch(line, 1):
-        raise ProtocolError("length is not a number")
+    if not _LENGTH.fullmatch(line, 1):
+        raise ProtocolError("length is not a number in RESP's form")
     number = int(line[1:])
-    if not -1 <= number <= max_length:
+    if number > max_length:
         raise ProtocolError(f"length {number} out of range, at most {max_length}")
     return number
 
 
+def is_bulk_string(value: Value) -> TypeGuard[bytes]:
+    """Whether a value is a length-prefixed string, and not a line of text."""
+    return type(value) is bytes
+
+
 def encode_bulk_string(value: bytes) -> bytes:
     """Encodes a length-prefixed string."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
--- a/tests/net/test_scenarios.py
+++ b/tests/net/test_scenarios.py
@@ -28,6 +28,7 @@
 
 ASK = "[Q.ASK 00000000b4d65521 r{0} c=look,t=basic,d=1000,units=1,spread=2,first=0]"
 DO = "[Q.DO 00000000b4d65521 r{0} c=buy,t=basic,d=1000,k=5c0f,units=1,spread=2,first=0 BODY]"
+UNKEYED_DO = DO.replace("k=5c0f,", "")  # for a class that is unsafe to repeat
 VALUE = r"*3\r\n$2\r\nhi\r\n$-1\r\n$27\r\ninflight=7,queue=2,util=0.6"
 GET = r"GET /discovery/hosts HTTP/1.1\r\n**\r\n"
 WATCH = r"GET /discovery/hosts?from={0}&hold_ms=1500 HTTP/1.1\r\n**\r\n"
