Remember executions by id beyond their client, also at the other process of an upgrade

Cause: pending requests were forgotten with their client, and nothing else knew the id. Torn entries, failing and full disks, and the roll to the next file have unit tests.

--- a/hazelhollow/decisions/actions.py
+++ b/hazelhollow/decisions/actions.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple, Union
 
 from hazelhollow.decisions.events import ReplicatedCount
+from hazelhollow.decisions.state.executions import Execution
 
 
 @dataclass(frozen=True)
@@ -24,12 +25,14 @@
         send_by: The time after which the request must not be sent any more if it has not been sent
             completely. Otherwise a connection that is established late could carry it after the end
             of the deduplication window.
+        execution: Where it runs, for a class that is not safe to repeat; else None.
     """
 
     id: str
     endpoint: str
     timeout: float = 0.0
     send_by: float = math.inf
+    execution: Execution | None = None
 
 
 @dataclass(frozen=True)
--- a/hazelhollow/decisions/attempts.py
+++ b/hazelhollow/decisions/attempts.py
@@ -31,6 +31,7 @@
 )
 from hazelhollow.decisions.slow_start import SlowStart
 from hazelhollow.decisions.state.endpoint import Endpoint
+from hazelhollow.decisions.state.executions import ExecutionMemory
 from hazelhollow.decisions.state.peer_loads import PeerLoads
 from hazelhollow.decisions.state.pending_requests import Attempt, PendingRequest, PendingRequests
 
@@ -43,6 +44,7 @@
     outliers: OutlierDetection
     quota: Quota
     retry_budget: RetryBudget
+    executions: ExecutionMemory
 
 
 class Attempts:
@@ -58,19 +60,30 @@
     ) -> None:
         self._context, self._pending = context, pending
         self._load, self._peer_loads = load, peer_loads
-        self._selection, self._slow_start, self._outliers, self._quota, self._budget = rules
+        self._selection, self._slow_start, self._outliers, self._quota = rules[:4]
+        self._budget, self._executions = rules.retry_budget, rules.executions
 
     def start(self, request: PendingRequest, endpoint: Endpoint, work: float) -> None:
         """Starts an attempt with `work` seconds of expected work."""
         context, number = self._context, len(request.attempts)
         send_by = request.repeatable_until()
         backlog = endpoint.backlog(self._peer_loads.total())
-        request.attempts.append(Attempt(endpoint, context.now, work, backlog))
+        attempt = Attempt(endpoint, context.now, work, backlog)
+        request.attempts.append(attempt)
         if not endpoint.in_flight:
             endpoint.last_progress_at = context.now
         endpoint.in_flight[request.event.id, number] = work
         self._slow_start.record_sent(endpoint, work)
-        context.actions.append(StartAttempt(request.event.id, endpoint.entry.name, send_by=send_by))
+        execution = None
+        if request.request_class.effect != "safe":
+            execution = attempt.execution
+            event = request.event
+            self._executions.add(event.customer, event.id, execution, context.now)
+        context.actions.append(
+            StartAttempt(
+                request.event.id, endpoint.entry.name, send_by=send_by, execution=execution
+            )
+        )
 
     def end(self, event: AttemptEnded) -> None:
         """Handles the end of an attempt: settles the charge, then retries or ends the request.
@@ -83,6 +96,8 @@
         request = self._pending.by_id[event.id]
         attempt.in_flight, attempt.may_have_run = False, event.status not in NEVER_RAN
         attempt.endpoint.in_flight.pop((event.id, event.attempt), None)
+        if not attempt.may_have_run and request.request_class.effect != "safe":
+            self._executions.discard(request.event.customer, event.id, attempt.execution)
         self._learn(attempt, request, event)
         if event.true_units and request.within_quota and not request.settled:
             self._quota.settle(request, event.true_units)
--- a/hazelhollow/decisions/endpoint_selection.py
+++ b/hazelhollow/decisions/endpoint_selection.py
@@ -79,7 +79,7 @@
         context, request_class = self._context, request.request_class
         settings, random = context.settings, context.random
         peer_loads = self._peer_loads.total()
-        retry = bool(request.attempts)
+        retry = request.is_repetition()
         zone_delay = (
             ZONE_DELAY_OBJECTIVES * settings.cross_zone_price * request_class.latency_objective
         )
@@ -113,7 +113,7 @@
         """Whether an endpoint may get an attempt."""
         if not self._table.may_get_new_work(endpoint):
             return False
-        if request.attempts and not may_attempt(
+        if request.is_repetition() and not may_attempt(
             request, endpoint, self._context.settings, self._context.now
         ):
             return False
--- a/hazelhollow/decisions/engine.py
+++ b/hazelhollow/decisions/engine.py
@@ -9,7 +9,9 @@
 | event                | handled by                                             |
 | -------------------- | ------------------------------------------------------ |
 | `RequestArrived`     | `admission`: quota, load shedding, the first attempt   |
+| `AttemptStarted`, `AnswerStalled` | `attempts`                                |
 | `AttemptEnded`       | `attempts`: settlement, retry or the end               |
+| `ExecutionsReported` | `state/executions`                                     |
 | `ClientDisconnected` | `state/pending_requests`                               |
 | `AllowanceGranted`   | `quota`                                                |
 | `GossipReceived`     | `gossip/receiver`                                      |
@@ -40,6 +42,7 @@
     EndpointOverridden,
     EndpointsUpdated,
     Event,
+    ExecutionsReported,
     GossipReceived,
     MembershipChanged,
     RequestArrived,
@@ -65,6 +68,7 @@
 from hazelhollow.decisions.state.customer_accounts import CustomerAccounts
 from hazelhollow.decisions.state.endpoint import Endpoint
 from hazelhollow.decisions.state.endpoint_table import EndpointTable
+from hazelhollow.decisions.state.executions import Execution, ExecutionMemory
 from hazelhollow.decisions.state.peer_loads import PeerLoads
 from hazelhollow.decisions.state.pending_requests import PendingRequest, PendingRequests
 from hazelhollow.decisions.state.replicated_accounts import ReplicatedAccounts
@@ -104,6 +108,7 @@
             AttemptStarted: self.attempts.answer_started,
             AnswerStalled: self.attempts.answer_stalled,
             AttemptEnded: self.attempts.end,
+            ExecutionsReported: self._executions_reported,
             ClientDisconnected: self._client_disconnected,
             AllowanceGranted: self.quota.grant_allowance,
             GossipReceived: self.receiver.receive,
@@ -122,6 +127,7 @@
         self.customer_accounts = CustomerAccounts(context, self.startup)
         self.replicated_accounts = ReplicatedAccounts(context, self.customer_accounts, self.startup)
         self.pending = PendingRequests()
+        self.executions = ExecutionMemory()
         self.table = EndpointTable(context.settings)
         self.peer_loads = PeerLoads(context)
         self.outliers = OutlierDetection(context, self.load)
@@ -151,12 +157,22 @@
         self.quota = Quota(context, load, accounts, self.replicated_accounts, self.gossip)
         self.retry_budget = RetryBudget()
         attempt_rules = AttemptRules(
-            self.selection, self.slow_start, self.outliers, self.quota, self.retry_budget
+            self.selection,
+            self.slow_start,
+            self.outliers,
+            self.quota,
+            self.retry_budget,
+            self.executions,
         )
         self.attempts = Attempts(context, self.pending, load, self.peer_loads, attempt_rules)
         self.load_shedding = LoadShedding(context, load)
         admission_rules = AdmissionRules(
-            self.quota, self.load_shedding, self.selection, self.retry_budget, self.attempts
+            self.quota,
+            self.load_shedding,
+            self.selection,
+            self.retry_budget,
+            self.attempts,
+            self.executions,
         )
         self.admission = Admission(context, accounts, self.pending, load, admission_rules)
 
@@ -244,12 +260,32 @@
     def _client_disconnected(self, event: ClientDisconnected) -> None:
         self.pending.end(event.id)
 
+    def _executions_reported(self, event: ExecutionsReported) -> None:
+        now = self.context.now
+        for report in event.executions:
+            execution = Execution(report.zone, report.cell, report.address, now - report.age)
+            execution.shared_id = report.shared_id
+            if report.never_ran:
+                self.executions.discard(report.customer, report.id, execution)
+            else:
+                self.executions.add(report.customer, report.id, execution, now)
+
     def _endpoints_updated(self, event: EndpointsUpdated) -> None:
         if event.kind == "failed":  # the current list stays in use
             self.context.actions.append(SubscribeToEndpoints())
+        if self.executions:
+            self._note_takeovers(event)
         self.table.apply(event, self.context.now)
         self.selection.invalidate_subset()
 
+    def _note_takeovers(self, event: EndpointsUpdated) -> None:
+        """Notes endpoints that have started at an address since the list last named it."""
+        for entry in event.entries:
+            current = self.table.endpoints.get(entry.name)
+            has_started = current is None or current.entry.started != entry.started
+            if entry.address and entry.started and has_started:
+                self.executions.address_taken_over(entry)
+
     def _endpoint_overridden(self, event: EndpointOverridden) -> None:
         self.table.override(event.endpoint, event.disabled, self.context.now)
         self.selection.invalidate_subset()
--- a/hazelhollow/decisions/events.py
+++ b/hazelhollow/decisions/events.py
@@ -33,6 +33,7 @@
         cell: Its cell; the endpoints of a cell share their record of idempotency keys.
         weight: Its capacity relative to other endpoints.
         started: The time of its start; 0 means long ago.
+        address: Where it listens, as `host:port`; empty if the name itself is the address.
     """
 
     name: str
@@ -41,6 +42,7 @@
     cell: int
     weight: float
     started: float = 0.0
+    address: str = ""
 
 
 def unknown_cell(endpoint_name: str) -> int:
@@ -129,6 +131,37 @@
     report: Mapping[str, float] = field(default_factory=dict)
 
 
+class ReportedExecution(NamedTuple):
+    """An attempt that another process of this limiter has started.
+
+    Attributes:
+        customer: The request's customer.
+        id: The request's id.
+        shared_id: The execution's own id; a later report about it has the same.
+        zone: The zone of its endpoint.
+        cell: The cell of its endpoint.
+        address: The address of its endpoint.
+        age: Seconds since it started.
+        never_ran: Whether it turned out that the attempt never ran.
+    """
+
+    customer: str
+    id: str
+    shared_id: str
+    zone: str
+    cell: int
+    address: str
+    age: float
+    never_ran: bool
+
+
+@dataclass(frozen=True)
+class ExecutionsReported:
+    """What another process of this limiter has forwarded, before a request that may repeat it."""
+
+    executions: tuple[ReportedExecution, ...]
+
+
 @dataclass(frozen=True)
 class ClientDisconnected:
     """The client has disconnected and needs no answer."""
@@ -282,6 +315,7 @@
     AttemptStarted,
     AnswerStalled,
     AttemptEnded,
+    ExecutionsReported,
     ClientDisconnected,
     TimerFired,
     ProbeEnded,
--- a/hazelhollow/decisions/interface.py
+++ b/hazelhollow/decisions/interface.py
@@ -26,11 +26,13 @@
     EndpointState,
     EndpointsUpdated,
     Event,
+    ExecutionsReported,
     GossipReceived,
     ListKind,
     MembershipChanged,
     ProbeEnded,
     ReplicatedCount,
+    ReportedExecution,
     RequestArrived,
     SharedCountRead,
     Status,
@@ -38,6 +40,7 @@
     unknown_cell,
 )
 from hazelhollow.decisions.settings import DedupScope, Effect, Plan, RequestClass, Settings
+from hazelhollow.decisions.state.executions import Execution
 
 __all__ = [
     "AccountReplicated",
@@ -55,6 +58,8 @@
     "EndpointState",
     "EndpointsUpdated",
     "Event",
+    "Execution",
+    "ExecutionsReported",
     "FailRequest",
     "GossipReceived",
     "ListKind",
@@ -64,6 +69,7 @@
     "RejectRequest",
     "ReplicateCount",
     "ReplicatedCount",
+    "ReportedExecution",
     "RequestArrived",
     "RequestClass",
     "SendGossip",
--- a/hazelhollow/decisions/retry.py
+++ b/hazelhollow/decisions/retry.py
@@ -10,6 +10,9 @@
 |          | (`all`), within `dedup_window` after the start of the first of them         |
 | `unsafe` | nowhere                                                                     |
 
+This holds for the id, not only for this request: what ran for an earlier request of the same id
+counts as well (`state/executions.py`).
+
 In addition, the request must not have ended, its deadline must not have passed, it must have had
 fewer than `max_attempts` attempts, and none of them may be in flight. A hung attempt is cancelled
 for a retry only if the effect is `safe` (`attempts.py`). The retry budget must not be exhausted
@@ -22,7 +25,7 @@
 from __future__ import annotations
 
 from hazelhollow.decisions.events import AttemptEnded, Status
-from hazelhollow.decisions.settings import Settings
+from hazelhollow.decisions.settings import RequestClass, Settings
 from hazelhollow.decisions.state.endpoint import Endpoint
 from hazelhollow.decisions.state.pending_requests import Attempt, PendingRequest
 
@@ -46,24 +49,25 @@
     ):
         return False
     effect, scope = request.request_class.effect, request.request_class.dedup_scope
-    ran = [attempt for attempt in request.attempts if attempt.may_have_run]
+    ran = request.executions()
     if not ran or effect == "safe":
         return True
     # One tick early, which is the resolution of the driver's timers.
     if effect == "unsafe" or now + settings.tick >= request.repeatable_until():
         return False
-    return scope == "all" or all(
-        getattr(attempt.endpoint.entry, scope) == getattr(endpoint.entry, scope) for attempt in ran
-    )
+    return all(execution.is_dropped_at(endpoint.entry, scope) for execution in ran)
 
 
 def may_reject(request: PendingRequest) -> bool:
     """Whether a request may be rejected, which implies that repeating it is harmless."""
-    request_class = request.request_class
-    harmless = request_class.effect == "safe" or (
+    return is_always_rejectable(request.request_class) or not request.executions()
+
+
+def is_always_rejectable(request_class: RequestClass) -> bool:
+    """Whether repeating a request is harmless even if it may have run."""
+    return request_class.effect == "safe" or (
         request_class.effect == "keyed" and request_class.dedup_scope == "all"
     )
-    return harmless or not any(attempt.may_have_run for attempt in request.attempts)
 
 
 def cost_of_retry(attempt: Attempt, event: AttemptEnded) -> float:
--- a/hazelhollow/decisions/state/pending_requests.py
+++ b/hazelhollow/decisions/state/pending_requests.py
@@ -28,6 +28,7 @@
 from hazelhollow.decisions.state.accounts import Account
 from hazelhollow.decisions.state.endpoint import Endpoint
 from hazelhollow.decisions.state.endpoint_table import EndpointGroup
+from hazelhollow.decisions.state.executions import Execution
 
 MAX_LEARNED_SIZE = 8  # largest size in units for which work is learned separately
 
@@ -43,6 +44,7 @@
         in_flight: Whether it has not ended yet.
         may_have_run: Whether the endpoint may have executed it.
         is_answering: Whether its answer has begun and is being forwarded.
+        execution: Where and when it runs, by the endpoint's entry at its start.
     """
 
     __slots__ = (
@@ -53,9 +55,11 @@
         "in_flight",
         "may_have_run",
         "is_answering",
+        "execution",
     )
 
     def __init__(self, endpoint: Endpoint, started_at: float, work: float, backlog: float) -> None:
+        self.execution = Execution.at(endpoint.entry, started_at)
         self.endpoint, self.started_at, self.work, self.backlog = (
             endpoint,
             started_at,
@@ -87,6 +91,7 @@
         within_quota: Whether the quota has room for it and is charged if it is admitted.
         ended: Whether the final answer was sent or the client has disconnected.
         settled: Whether the true units were charged in place of the estimated ones.
+        earlier: Executions of the same id from before this request arrived.
     """
 
     __slots__ = (
@@ -102,6 +107,7 @@
         "within_quota",
         "ended",
         "settled",
+        "earlier",
     )
 
     def __init__(
@@ -120,15 +126,21 @@
         self.attempts: list[Attempt] = []
         self.size = min(round(event.units), MAX_LEARNED_SIZE)
         self.within_quota = self.ended = self.settled = False
+        self.earlier: tuple[Execution, ...] = ()
+
+    def is_repetition(self) -> bool:
+        """Whether anything was sent for its id before."""
+        return bool(self.attempts or self.earlier)
+
+    def executions(self) -> list[Execution]:
+        """Returns all attempts of its id that may have run, the first one first."""
+        own = [attempt.execution for attempt in self.attempts if attempt.may_have_run]
+        return [*self.earlier, *own]
 
     def has_attempt_in_flight(self) -> bool:
         """Whether any attempt has not ended."""
         return any([a.in_flight for a in self.attempts])
 
-    def first_that_may_have_run(self) -> Attempt | None:
-        """Returns the first attempt that its endpoint may have executed."""
-        return next((a for a in self.attempts if a.may_have_run), None)
-
     def attempts_at(self, endpoint: Endpoint) -> int:
         """Returns the number of attempts that were sent to an endpoint."""
         return sum([a.endpoint is endpoint for a in self.attempts]) if self.attempts else 0
@@ -139,10 +151,10 @@
         Endpoints drop a repeated request for `dedup_window` seconds after the first attempt that
         may have run. The time is infinite if nothing has run or if repeating is safe.
         """
-        ran = self.first_that_may_have_run()
-        if ran is None or self.request_class.effect == "safe":
+        if self.request_class.effect == "safe" or not self.is_repetition():
             return math.inf
-        return ran.started_at + self.request_class.dedup_window
+        starts = [execution.started_at for execution in self.executions()]
+        return min(starts) + self.request_class.dedup_window if starts else math.inf
 
     def required_group(self) -> EndpointGroup | None:
         """Returns the zone or cell that another attempt must be sent to, if there is one.
@@ -152,8 +164,8 @@
         scope = self.request_class.dedup_scope
         if self.request_class.effect != "keyed" or scope == "all":
             return None
-        ran = self.first_that_may_have_run()
-        return (scope, getattr(ran.endpoint.entry, scope)) if ran else None
+        executions = self.executions()
+        return (scope, getattr(executions[0], scope)) if executions else None
 
 
 class PendingRequests:
--- a/hazelhollow/net/attempts.py
+++ b/hazelhollow/net/attempts.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from hazelhollow.decisions.interface import Status
+from hazelhollow.decisions.interface import Execution, Status
 
 if TYPE_CHECKING:
     from hazelhollow.net.pooled_connection import PooledConnection
@@ -85,6 +85,7 @@
         on_result: Receives the result; None once the attempt has ended.
         before_sending: Called once, when a new connection is up and before the request is written.
         sink: Takes a value that is too long to be collected; None if nothing can take it.
+        execution: Where the request runs, if it must not run twice; else None.
         forwarding_since: When the value began to be forwarded (clock); 0 if it has not.
         connection: The connection that carries the attempt; None if it never got one.
         started_at: When the attempt was started, by the scheduler's clock.
@@ -99,6 +100,7 @@
         "on_result",
         "before_sending",
         "sink",
+        "execution",
         "forwarding_since",
         "connection",
         "started_at",
@@ -118,6 +120,7 @@
         self.on_result: Callable[[AttemptResult], None] | None = on_result
         self.before_sending: Callable[[], object] | None = before_sending
         self.sink: ValueSink | None = None
+        self.execution: Execution | None = None
         self.forwarding_since = 0.0
         self.connection: PooledConnection | None = None
         self.timeout_timer: Timer | None = None
--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -25,9 +25,11 @@
 from typing import Protocol
 
 from hazelhollow.decisions import interface as api
+from hazelhollow.decisions.retry import NEVER_RAN
 from hazelhollow.net.attempts import AttemptResult
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.connection_pool import ConnectionPool
+from hazelhollow.net.execution_log import ExecutionLog
 from hazelhollow.net.open_request import Forwardable, OpenRequest, Responder
 from hazelhollow.net.peer_socket import PeerSocket
 from hazelhollow.net.rate_limited_log import RateLimitedLog
@@ -63,6 +65,9 @@
             after the answer.
         open_requests: The open requests by their ids.
         attempts_by_endpoint: Started attempts by endpoint; None if nothing uses these counts.
+        executions: Shares what was forwarded with the other process of an upgrade; None if nothing
+            does.
+        classes_to_run_once: The classes that are not safe to repeat.
         sampled_ids: Ids of forwarded requests, at most `max_samples` until they are collected.
     """
 
@@ -80,6 +85,8 @@
         self.peers: PeerSocket | None = None
         self.on_count: Callable[[api.ReplicateCount], None] | None = None
         self.attempts_by_endpoint: Counter[str] | None = None
+        self.executions: ExecutionLog | None = None
+        self.classes_to_run_once = frozenset[str]()
         self.sampled_ids, self.max_samples = list[str](), 0
         self.open_requests: dict[str, OpenRequest] = {}
         self.max_settled_units = 0.0
@@ -116,6 +123,10 @@
             self._stats.reply(request.class_name, "error")
             responder.send_failure()
             return None
+        if self.executions and request.class_name in self.classes_to_run_once:
+            reported = self.executions.read()
+            if reported:
+                self._handle(api.ExecutionsReported(reported))
         deadline = self._scheduler.clock() + request.time_left
         opened = OpenRequest(request.id, parsed, responder, deadline)
         self.open_requests[request.id] = opened
@@ -180,6 +191,8 @@
         attempt, now = opened.attempts[number], self._scheduler.clock()
         opened.attempts_out -= 1
         self._stats.outcomes[result.status] += 1
+        if result.status in NEVER_RAN:
+            self._retract_execution(opened, attempt.execution, attempt.started_at)
         # The time that a client takes to read a long value says nothing about the endpoint.
         elapsed = (attempt.forwarding_since or now) - attempt.started_at
         if opened.forwarding is attempt:
@@ -357,7 +370,16 @@
 
     def _start_attempt(self, action: api.StartAttempt, now: float) -> None:
         opened = self.open_requests.get(action.id)
-        if opened is None or self._check_no_answer_needed(opened) or now >= opened.deadline:
+        if opened and action.execution and self.executions:
+            # Before the client's connection is checked: see `execution_log`.
+            self.executions.append(opened.parsed.request, action.execution, 0.0)
+        if (
+            opened is None
+            or self._check_no_answer_needed(opened, action.execution is not None)
+            or now >= opened.deadline
+        ):
+            if opened:
+                self._retract_execution(opened, action.execution, now)
             number = len(opened.attempts) if opened else 0
             event = api.AttemptEnded(action.id, number, action.endpoint, "never_sent", 0.0)
             self._events.append((event, opened))
@@ -374,9 +396,10 @@
             action.endpoint,
             opened.parsed.command(max(1, round(timeout * 1000))),
             lambda result: self._attempt_ended(opened, number, result),
-            lambda: self._check_no_answer_needed(opened),
+            lambda: self._check_no_answer_needed(opened, action.execution is not None),
             ForwardedValue(self, opened, number),
         )
+        attempt.execution = action.execution
         opened.attempts.append(attempt)
         if action.send_by < now + timeout:
             attempt.send_by_timer = self._scheduler.at(
@@ -387,15 +410,24 @@
                 now + timeout, self._pool.abort, attempt, CloseReason.TIMED_OUT
             )
 
-    def _check_no_answer_needed(self, opened: OpenRequest) -> bool:
+    def _retract_execution(
+        self, opened: OpenRequest, execution: api.Execution | None, started_at: float
+    ) -> None:
+        """Tells the other process that an attempt never ran, so that its id may be used there."""
+        if execution and self.executions:
+            age = self._scheduler.clock() - started_at
+            self.executions.retract(opened.parsed.request, execution, age)
+
+    def _check_no_answer_needed(self, opened: OpenRequest, runs_once: bool = False) -> bool:
         """Whether the request is answered or its client has disconnected.
 
-        If the sockets were last polled too long ago, the operating system is asked about the
-        client's connection.
+        The operating system is asked about the client's connection if the sockets were last polled
+        too long ago, and always if the request must not run twice: a client that has left may send
+        it again elsewhere at once.
         """
         if (
             not opened.answered
-            and self._scheduler.time_since_poll() > STALE_POLL_S
+            and (runs_once or self._scheduler.time_since_poll() > STALE_POLL_S)
             and opened.responder.has_disconnected()
         ):
             self.client_disconnected(opened)
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -28,6 +28,7 @@
 from hazelhollow.net.discovery_watch import DiscoveryWatch
 from hazelhollow.net.endpoint_list import EndpointList
 from hazelhollow.net.engine_driver import Decisions, EngineDriver
+from hazelhollow.net.execution_log import ExecutionLog
 from hazelhollow.net.frontend import Frontend, FrontendLimits
 from hazelhollow.net.graceful_shutdown import GracefulShutdown
 from hazelhollow.net.operator_address import OperatorAddress
@@ -135,6 +136,8 @@
             )
         driver = EngineDriver(decisions, self.scheduler, self.pool, self.stats, config.max_open)
         driver.max_settled_units = _max_settled_units(config.settings)
+        driver.classes_to_run_once = _classes_to_run_once(config.settings)
+        driver.executions = ExecutionLog(config.name)
         return driver
 
     def _build_frontend(self, config: PlatformConfig, descriptors: int) -> Frontend:
@@ -178,6 +181,8 @@
         self.engine.reconfigure(settings)
         self.frontend.request_limits = RequestLimits(settings, self.frontend.request_limits)
         self.engine_driver.max_settled_units = _max_settled_units(settings)
+        # Requests in transit may still name a class that these settings do not have.
+        self.engine_driver.classes_to_run_once |= _classes_to_run_once(settings)
 
     def _apply_addresses(self, config: PlatformConfig) -> None:
         """Applies the timeouts and the discovery address of a reloaded configuration."""
@@ -190,5 +195,9 @@
     return count * share[0] // share[1]
 
 
+def _classes_to_run_once(settings: api.Settings) -> frozenset[str]:
+    return frozenset(kind.name for kind in settings.classes if kind.effect != "safe")
+
+
 def _max_settled_units(settings: api.Settings) -> float:
     return settings.max_units if settings.post_paid else 0.0
--- a/hazelhollow/storage/__init__.py
+++ b/hazelhollow/storage/__init__.py
@@ -14,10 +14,13 @@
 - `$TMPDIR/hazelhollow-NAME-bans.json`, endpoints that an operator disabled. Written by `net`,
   completely and by rename, under the lock of the empty file `...-bans.json.lock` beside it. One
   that is damaged or was written by another program is logged and ignored until it is written again.
+- `$TMPDIR/hazelhollow-NAME-executions-N`, which requests that must not run twice were forwarded.
+  Appended to by `net.execution_log`, read by the other process of an upgrade, at most 2 MiB each;
+  three remain. A torn line is skipped; while it cannot be written, entries wait in memory.
 - `view_file` of the operator file, lines about the membership. Appended to by `membership`.
   Limiters never read it; programs that read it skip a torn line. Its size is not bounded.
 
-The first, second and fourth are written by `writer.BackgroundWriter`, which bounds the pending
-bytes: a disk that is full or slow affects these files only. The bans are written by the event loop
-at an operator's call, and read by it every quarter second: a slow `$TMPDIR` delays answers.
+The first, second and last are written by `writer.BackgroundWriter`, which bounds the pending
+bytes: a disk that is full or slow affects these files only. The bans and the
+executions are written and read by the event loop: a slow `$TMPDIR` delays answers.
 """
--- /dev/null
+++ b/tests/net/test_execution_log.py
@@ -0,0 +1,132 @@
+"""The executions that two processes share: torn lines, failing disks, the roll to the next file."""
+
+from __future__ import annotations
+
+import errno
+import os
+from pathlib import Path
+
+import pytest
+
+from hazelhollow.decisions import interface as api
+from hazelhollow.decisions.state import executions as memory_module
+from hazelhollow.decisions.state.executions import ExecutionMemory
+from hazelhollow.net.execution_log import KEPT_SLICES, SLICE_S, ExecutionLog
+
+
+class Machine:
+    """Two processes with one folder and one monotonic clock."""
+
+    def __init__(self, folder: Path) -> None:
+        self.now, self.folder = 1000.0, folder
+        self.old, self.new = self.process(), self.process()
+
+    def process(self) -> ExecutionLog:
+        return ExecutionLog("n0", self.folder, lambda: self.now)
+
+
+@pytest.fixture
+def machine(tmp_path: Path) -> Machine:
+    return Machine(tmp_path)
+
+
+def request(number: int) -> api.RequestArrived:
+    return api.RequestArrived(f"r{number}", "pay", "basic", "c", 1.0, 1.0, 0, 1)
+
+
+def append(log: ExecutionLog, number: int, age: float = 0.0) -> api.Execution:
+    execution = api.Execution("a b", 3, "10.0.0.1:1", 5.0)
+    log.append(request(number), execution, age)
+    return execution
+
+
+def ids(log: ExecutionLog) -> list[str]:
+    return [report.id for report in log.read()]
+
+
+def test_each_process_reads_what_the_other_wrote_and_nothing_of_its_own(machine: Machine) -> None:
+    append(machine.old, 1, age=0.25)
+    append(machine.new, 2)
+    (report,) = machine.new.read()
+    assert (report.customer, report.id, report.zone, report.cell) == ("c", "r1", "a b", 3)
+    assert report.address == "10.0.0.1:1" and report.age == pytest.approx(0.25, abs=0.002)
+    assert ids(machine.old) == ["r2"] and not ids(machine.old) and not ids(machine.new)
+
+
+def test_process_that_starts_later_reads_the_files_from_before(machine: Machine) -> None:
+    append(machine.old, 1)
+    machine.now += SLICE_S
+    append(machine.old, 2)
+    assert ids(machine.process()) == ["r1", "r2"]
+    machine.now += KEPT_SLICES * SLICE_S
+    append(machine.old, 3)
+    assert ids(machine.process()) == ["r3"] and len(list(machine.folder.iterdir())) == 1
+
+
+def test_entry_that_a_killed_process_wrote_half_way_spoils_no_other(machine: Machine) -> None:
+    append(machine.old, 1)
+    (path,) = machine.folder.iterdir()
+    whole = path.read_bytes()
+    for size in range(len(whole)):
+        path.write_bytes(whole[:size])
+        append(machine.process(), 2)
+        assert "r2" in ids(machine.process())
+
+
+def test_retraction_names_the_same_execution(machine: Machine) -> None:
+    execution = append(machine.old, 1)
+    machine.old.retract(request(1), execution, 0.0)
+    ran, never_ran = machine.new.read()
+    assert ran.shared_id == never_ran.shared_id and (ran.never_ran, never_ran.never_ran) == (
+        False,
+        True,
+    )
+
+
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO, None], ids=["full", "error", "short"])
+def test_entries_wait_while_the_disk_fails(
+    machine: Machine, error: int | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What was forwarded meanwhile is still told, once the disk works again."""
+    write = os.write
+
+    def fail(descriptor: int, data: bytes) -> int:
+        if error is None:
+            return write(descriptor, data[: len(data) // 2])
+        raise OSError(error, "for a while")
+
+    append(machine.old, 1)
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", fail)
+        append(machine.old, 2)
+        append(machine.old, 3)
+        assert machine.old.failures and ids(machine.new) == ["r1"]
+    append(machine.old, 4)
+    assert ids(machine.new) == ["r2", "r3", "r4"]
+
+
+def test_folder_that_is_missing_costs_nothing_but_the_other_process(tmp_path: Path) -> None:
+    log = ExecutionLog("n0", tmp_path / "absent")
+    append(log, 1)
+    assert log.failures == 1 and log.read() == ()
+
+
+def test_memory_of_executions_is_bounded_in_time_and_number(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(memory_module, "MAX_REMEMBERED", 100)
+    memory = ExecutionMemory()
+    for number in range(1000):
+        memory.add("c", f"r{number}", api.Execution("a", 1, "", float(number)), float(number))
+    assert len(memory) == 100 and memory.find(request(999)) and not memory.find(request(0))
+    memory.add("c", "last", api.Execution("a", 1, "", 9999.0), 9999.0)
+    assert len(memory) == 1
+
+
+def test_id_that_two_customers_use_is_remembered_for_each() -> None:
+    """The driver adds the customer to the second one's id; it is the same request nevertheless."""
+    memory = ExecutionMemory()
+    memory.add("c", "r1/c", api.Execution("a", 1, "", 1.0), 1.0)
+    memory.add("d", "r1", api.Execution("a", 2, "", 1.0), 1.0)
+    (found,) = memory.find(request(1))
+    assert found.cell == 1
