Identify an endpoint by its address, start and name, not by name or address alone

What callers saw: keyed ids ran in two cells while a gone server and its successor stood in the list at one address. Cause: requests for the gone name reached the process that listens there now, and counted as run in the gone one's cell; the pool kept connections by name and address through a restart. Open: a successor that no list has named yet cannot be told from its predecessor.

--- a/hazelhollow/net/connection_pool.py
+++ b/hazelhollow/net/connection_pool.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from hazelhollow.net import resp, stream
 from hazelhollow.net.answer_parser import (
@@ -88,15 +89,23 @@
 
     # The endpoint list
 
-    def set_endpoints(self, addresses: Mapping[str, tuple[str, int]]) -> None:
+    def set_endpoints(
+        self,
+        addresses: Mapping[str, tuple[str, int]],
+        start_times: Mapping[str, float] = MappingProxyType({}),
+    ) -> None:
         """Sets the endpoints that may receive new attempts from now on, and their addresses.
 
+        An endpoint that has moved or restarted (another time in `start_times`) is another process:
+        connections to the old one are not used again.
+
         An attempt of which no byte has been sent must not reach an endpoint that drains or is gone:
         it ends as `connect_failed`, and the decision engine may choose another endpoint. Attempts
         that have started to send continue.
         """
         for name, endpoint in list(self._endpoints.items()):
-            if addresses.get(name) != endpoint.address:
+            started = start_times.get(name, 0.0)
+            if (addresses.get(name), started) != (endpoint.address, endpoint.started):
                 endpoint.listed = False
                 del self._endpoints[name]
                 for connection in list(endpoint.connections):
@@ -104,7 +113,7 @@
                         self.close_connection(connection, CloseReason.UNLISTED)
         for name, address in addresses.items():
             if name not in self._endpoints:
-                self._endpoints[name] = PoolEndpoint(name, address)
+                self._endpoints[name] = PoolEndpoint(name, address, start_times.get(name, 0.0))
 
     # Attempts
 
--- a/hazelhollow/net/endpoint_list.py
+++ b/hazelhollow/net/endpoint_list.py
@@ -8,6 +8,9 @@
 | `in_service` | up | yes | continue |
 | `terminating` | draining | no | continue |
 | `terminated` | gone: the entry is removed | no | continue until their connections end |
+
+An endpoint whose address has a later occupant (`address_occupants`) counts as draining: a request
+for it would reach the other process, which may belong to another zone or cell.
 """
 
 from __future__ import annotations
@@ -16,9 +19,11 @@
 import logging
 import math
 import re
+from dataclasses import replace
 from typing import Any
 
 from hazelhollow.decisions import interface as api
+from hazelhollow.net.address_occupants import AddressOccupants
 from hazelhollow.net.errors import EndpointListError
 from hazelhollow.platform_config import parse_address
 
@@ -38,7 +43,7 @@
 
     Attributes:
         version: Discovery's version number of the list.
-        entries: The entries by endpoint name, without endpoints that are gone.
+        entries: The entries by endpoint name as discovery has them, without those that are gone.
         addresses: The addresses of the same endpoints.
         ever_listed: All endpoint names that were ever listed in this process.
     """
@@ -48,6 +53,7 @@
         self.entries: dict[str, api.EndpointEntry] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self.ever_listed: set[str] = set()
+        self._occupants = AddressOccupants()
 
     def apply(
         self, document: Any, cached: bool = False, min_version: int = 0
@@ -76,26 +82,56 @@
             )
         parsed = _parse_entries(raw_entries, skip_unreadable=is_snapshot or not min_version)
         self.version = version
+        superseded_before = set(self._occupants.superseded)
         if is_snapshot:
-            self.entries, self.addresses = {}, {}
+            self._remove_unlisted({entry.name for entry, _ in parsed})
         for entry, address in parsed:
-            self.ever_listed.add(entry.name)
-            if entry.state == "gone":
-                self.entries.pop(entry.name, None)
-                self.addresses.pop(entry.name, None)
-            else:
-                self.entries[entry.name], self.addresses[entry.name] = entry, address
+            self._apply_entry(entry, address)
         kind: api.ListKind = "cached" if cached else "full" if is_snapshot else "change"
-        return api.EndpointsUpdated(kind, tuple(entry for entry, _ in parsed))
+        entries = [self._effective(entry) for entry, _ in parsed]
+        if not is_snapshot:
+            named = {entry.name for entry in entries}
+            changed = (self._occupants.superseded ^ superseded_before) - named
+            entries += [
+                self._effective(self.entries[name])
+                for name in sorted(changed)
+                if name in self.entries
+            ]
+        return api.EndpointsUpdated(kind, tuple(entries))
+
+    def _remove_unlisted(self, listed: set[str]) -> None:
+        for name in self.entries.keys() - listed:
+            self._occupants.unlisted(name)
+        self.entries, self.addresses = {}, {}
+
+    def _apply_entry(self, entry: api.EndpointEntry, address: tuple[str, int]) -> None:
+        self.ever_listed.add(entry.name)
+        if entry.state == "gone":
+            self.entries.pop(entry.name, None)
+            self.addresses.pop(entry.name, None)
+            self._occupants.unlisted(entry.name)
+        else:
+            self.entries[entry.name], self.addresses[entry.name] = entry, address
+            self._occupants.listed(entry)
+
+    def _effective(self, entry: api.EndpointEntry) -> api.EndpointEntry:
+        """Returns the entry as the decision engine has to see it."""
+        if entry.state == "up" and entry.name in self._occupants.superseded:
+            return replace(entry, state="draining")
+        return entry
 
     def in_service_addresses(self) -> dict[str, tuple[str, int]]:
         """Returns the addresses of the endpoints that may receive new requests."""
         return {
             name: self.addresses[name]
             for name, entry in self.entries.items()
-            if entry.state == "up"
+            if entry.state == "up" and name not in self._occupants.superseded
         }
 
+    def start_times(self) -> dict[str, float]:
+        """Returns when each listed endpoint last started (Unix time); 0 means long ago."""
+        return {name: entry.started for name, entry in self.entries.items()}
+
 
 def _read_document(document: Any) -> tuple[int, bool, list[Any]]:
     """Returns the version, whether the list is complete, and its entries; all types are checked."""
@@ -118,7 +154,8 @@
     parsed = []
     for raw in raw_entries:
         try:
-            parsed.append((_parse_entry(raw), _parse_endpoint_address(raw["address"])))
+            entry = _parse_entry(raw)
+            parsed.append((entry, parse_address(entry.address)))
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             log.warning("discovery: cannot read an entry of the endpoint list: %r", error)
             if not skip_unreadable:
@@ -129,6 +166,7 @@
 def _parse_entry(raw: Any) -> api.EndpointEntry:
     """Parses an entry; raises KeyError, TypeError or ValueError if a value has another form."""
     name, zone, group = raw["name"], raw.get("zone", ""), raw.get("group")
+    host, port = _parse_endpoint_address(raw["address"])
     if not isinstance(name, str) or not _NAME.fullmatch(name) or not isinstance(zone, str):
         raise ValueError(f"name {name!r}, zone {zone!r}")
     if group is not None and (type(group) is not int or group < 0):
@@ -140,6 +178,7 @@
         cell=api.unknown_cell(name) if group is None else group,
         weight=_parse_number(raw.get("weight", 1.0)),
         started=_parse_number(raw.get("since_ms", 0)) / 1000.0,
+        address=f"{host}:{port}",
     )
 
 
--- a/hazelhollow/net/pooled_connection.py
+++ b/hazelhollow/net/pooled_connection.py
@@ -99,18 +99,19 @@
 
 
 class PoolEndpoint:
-    """One endpoint, and the connections to it.
+    """One process that serves as an endpoint, and the connections to it.
 
     Attributes:
+        started: When the process started, according to discovery; 0 means long ago.
         connections: All connections to the endpoint.
         idle: The connections in SETTLING or IDLE, the most recently used last.
         listed: Whether the endpoint may still receive new attempts.
     """
 
-    __slots__ = ("name", "address", "connections", "idle", "listed")
+    __slots__ = ("name", "address", "started", "connections", "idle", "listed")
 
-    def __init__(self, name: str, address: tuple[str, int]) -> None:
-        self.name, self.address = name, address
+    def __init__(self, name: str, address: tuple[str, int], started: float = 0.0) -> None:
+        self.name, self.address, self.started = name, address, started
         self.connections: set[PooledConnection] = set()
         self.idle: list[PooledConnection] = []
         self.listed = True
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -82,7 +82,9 @@
         self.endpoint_list = EndpointList()
         if config.known is not None:
             self.engine_driver.notify(self.endpoint_list.apply(config.known, cached=True))
-            self.pool.set_endpoints(self.endpoint_list.in_service_addresses())
+            self.pool.set_endpoints(
+                self.endpoint_list.in_service_addresses(), self.endpoint_list.start_times()
+            )
         self.discovery_watch = DiscoveryWatch(
             scheduler, self.stats, config.discovery, self.endpoint_list, self._endpoints_changed
         )
@@ -173,7 +175,8 @@
                 name: address
                 for name, address in self.endpoint_list.in_service_addresses().items()
                 if name not in self.overrides.disabled
-            }
+            },
+            self.endpoint_list.start_times(),
         )
 
     def _apply_settings(self, settings: api.Settings) -> None:
