--- a/hazelhollow/decisions/state/customer_accounts.py
+++ b/hazelhollow/decisions/state/customer_accounts.py
@@ -22,6 +22,7 @@
 # Time after which members that are reachable again have replicated their charges.
 COUNT_SETTLE_S = 4.0 * PERIOD_S
 MAX_FORGET_CHECKS = 60  # accounts checked for removal in one gossip round
+OPENING_FORGET_CHECKS = 2  # and for each opened one: ever new customers cannot outrun the checks
 
 
 class CustomerAccounts:
@@ -84,6 +85,7 @@
         return account
 
     def _open(self, name: str, plan: Plan, set_size: int) -> Account:
+        self._forget_due(OPENING_FORGET_CHECKS)
         context, startup = self._context, self._startup
         opening = Opening(
             startup.initial_level(plan, set_size),
@@ -132,7 +134,10 @@
         Reports of peers count as use: if the account were removed and opened again, a repeated
         report of a total would be charged a second time.
         """
-        context, checks = self._context, MAX_FORGET_CHECKS
+        self._forget_due(MAX_FORGET_CHECKS)
+
+    def _forget_due(self, checks: int) -> None:
+        context = self._context
         while checks and self.checks and self.checks[0][0] <= context.now:
             due, _, account = heapq.heappop(self.checks)
             if account.next_check_at != due or self.by_name.get(account.name) is not account:
--- a/hazelhollow/net/requests.py
+++ b/hazelhollow/net/requests.py
@@ -36,6 +36,7 @@
 _UNITS = re.compile(r"(0|[1-9][0-9]{0,8})(\.[0-9]{1,9})?")  # an estimate may be a fraction
 _REQUIRED_FIELDS = frozenset({"c", "t", "d", "units", "spread", "first"})
 _OPTIONAL_FIELDS = frozenset({"k", "r"})
+_MAX_FIELDS = len(_REQUIRED_FIELDS | _OPTIONAL_FIELDS)
 _RETRY_MARK = "1"
 
 
@@ -120,6 +121,8 @@
 
 def _read_fields(text: bytes) -> dict[str, str]:
     """Returns the fields by name; raises BadCommandError if a name is wrong, missing or twice."""
+    if text.count(b",") >= _MAX_FIELDS:  # before thousands of empty ones are split
+        raise BadCommandError("unreadable request")
     try:
         items = [item.split("=", 1) for item in text.decode("ascii").split(",")]
         fields = dict(items)
