Bear system calls that fail for a moment: retry sends, reads, polls and accepts

Cause: every error of send and recv but EAGAIN counted as a reset, a failing poll ended the event loop, each ENFILE cost an idle client its connection, and one failing accept before the listening socket was closed left the rest of its queue to a reset. Change: Stream tells transient errors from broken connections and sends again 10 ms later; poll, accept and setsockopt failures pass; a client's connection is given up for EMFILE or a shortage that lasts.

--- a/hazelhollow/net/frontend.py
+++ b/hazelhollow/net/frontend.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,6 +26,8 @@
 LISTEN_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05  # when the session limit is reached or no descriptor is left
 SESSION_CHECK_INTERVAL_S = 0.25
+MAX_PASSING_ACCEPT_FAILURES = 5  # in a row, after which a shortage counts as lasting
+MAX_ACCEPT_FAILURES = 64  # of the calls that empty the accept queue before the socket is closed
 
 
 @dataclass(frozen=True)
@@ -78,6 +81,7 @@
         self.forwarding = ForwardingWindow(limits.max_forwarding_bytes)
         self.close_idle_endpoint_connection: Callable[[], bool] = lambda: False
         self._ready = False
+        self._accept_failures = 0  # in a row
         self._waiting_for_ready: list[Callable[[], None]] = []
         scheduler.at(scheduler.clock() + SESSION_CHECK_INTERVAL_S, self._check_sessions)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -130,12 +134,11 @@
                 return False
         try:
             sock, _ = self._sock.accept()
+        except BlockingIOError:
+            return False
         except OSError as error:
-            out_of_descriptors = error.errno in stream.NO_DESCRIPTOR_ERRORS
-            if out_of_descriptors and not self.free_descriptor():
-                # without a pause poll would report the waiting client again immediately
-                self.scheduler.sleep(ACCEPT_PAUSE_S)
-            return out_of_descriptors
+            return self._recover_from_accept_error(error.errno)
+        self._accept_failures = 0
         self.stats.accepted += 1
         # An idle session is closed only after a successful accept, and chosen before it, so that
         # the new session cannot be the one that is closed.
@@ -144,6 +147,23 @@
         self._start_session(sock)
         return True
 
+    def _recover_from_accept_error(self, number: int | None) -> bool:
+        """Returns whether `accept` may be called again at once.
+
+        A client's connection is closed for a new one only if this process is out of descriptors, or
+        if the machine has been for some time: other failures pass by themselves.
+        """
+        self._accept_failures += 1
+        is_persistent = self._accept_failures > MAX_PASSING_ACCEPT_FAILURES
+        is_own_limit = number == errno.EMFILE
+        out_of_descriptors = number in stream.NO_DESCRIPTOR_ERRORS
+        if out_of_descriptors and (is_own_limit or is_persistent) and self.free_descriptor():
+            return True
+        if out_of_descriptors:
+            # without a pause poll would report the waiting client again immediately
+            self.scheduler.sleep(ACCEPT_PAUSE_S)
+        return False
+
     def _start_session(self, sock: socket.socket) -> Session:
         session = Session(self, stream.Stream(self.scheduler, sock, MAX_UNSENT_BYTES))
         self.sessions.add(session)
@@ -209,11 +229,19 @@
         Closing the socket earlier would reset these connections, although the operating system has
         already accepted them.
         """
+        failures = 0
         while len(self.sessions.sessions) < self.sessions.max_sessions + MAX_ACCEPTS_PER_TURN:
             try:
                 sock, _ = self._sock.accept()
-            except OSError:
-                break
+            except BlockingIOError:
+                break  # the queue is empty
+            except OSError as error:
+                failures += 1
+                if error.errno in stream.NO_DESCRIPTOR_ERRORS:
+                    self.free_descriptor()
+                if failures > MAX_ACCEPT_FAILURES:
+                    break
+                continue  # a client that has left, or a failure that passes
             self.stats.accepted += 1
             self._start_session(sock).finish()
         self.scheduler.unregister(self._sock.fileno())
--- a/hazelhollow/net/scheduler.py
+++ b/hazelhollow/net/scheduler.py
@@ -29,6 +29,7 @@
 MAX_POLL_S = 1.0
 PROCESS_PAUSE_S = 0.5  # a turn that is late by more counts as a process pause
 RESTART_DELAY_S = 0.1  # before a supervised task that ended is restarted
+FAILED_POLL_PAUSE_S = 0.005
 IMMEDIATE_POLL_S = 0.0005  # a poll that took less time found events that were already pending
 
 log = logging.getLogger(__name__)
@@ -262,7 +263,12 @@
         due = self._timers[0][0] - now if self._timers else longest
         poll_s = 0.0 if self._stopped else max(0.0, min(due, longest))
         previous_poll_at = self._polled_at
-        ready = self._poll.poll(poll_s * 1000)
+        try:
+            ready = self._poll.poll(poll_s * 1000)
+        except OSError:  # no memory for a moment: the next turn polls again
+            log.warning("poll failed, trying again", exc_info=True)
+            time.sleep(FAILED_POLL_PAUSE_S)
+            ready = []
         self._polled_at = self.clock()
         self._check_for_pause(expected=poll_s)
         # Events that a poll returns at once may have occurred at any time since the previous poll;
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -10,6 +10,7 @@
 import select
 import socket
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.ring_buffer import RingBuffer
@@ -31,6 +32,9 @@
 SYSTEM_RECEIVE_BUFFER_BYTES = 256 * 1024
 ACCEPT_PAUSE_S = 0.05  # when no descriptor is left
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# The connection is as it was; the same call may succeed a moment later.
+TRANSIENT_ERRORS = (errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM, errno.ENFILE)
+TRANSIENT_RETRY_S = 0.01  # poll reports a socket as writable although a send fails for a moment
 
 
 def connect(
@@ -65,8 +69,9 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError:
         return CloseReason.NO_DESCRIPTOR
-    # before the connection is up, since it bounds the window that is announced then
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SYSTEM_RECEIVE_BUFFER_BYTES)
+    with suppress(OSError):
+        # before the connection is up, since it bounds the window that is announced then
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SYSTEM_RECEIVE_BUFFER_BYTES)
     return Stream(scheduler, sock, max_unsent)
 
 
@@ -108,6 +113,7 @@
         "_sock",
         "_fd",
         "_flush_scheduled",
+        "_is_retrying",
         "_room_refused_at",
         "_task",
     )
@@ -115,14 +121,16 @@
     def __init__(self, scheduler: Scheduler, sock: socket.socket, max_unsent: int) -> None:
         """`max_unsent`: the maximum number of bytes in the send buffer."""
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SYSTEM_SEND_BUFFER_BYTES)
+        with suppress(OSError):  # a connection that has broken meanwhile: reading tells
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SYSTEM_SEND_BUFFER_BYTES)
         self.scheduler, self._sock, self._fd = scheduler, sock, sock.fileno()
         self.send_buffer = RingBuffer(max_unsent)
         self.bytes_sent = 0
         self.close_reason: CloseReason | None = None
         self.on_send_failure: Callable[[CloseReason], None] | None = None
         self._flush_scheduled = False
+        self._is_retrying = False  # a transient failure; a timer sends again
         # `bytes_sent` when `has_room` last said no; None if the task does not wait for room.
         self._room_refused_at: int | None = None
         self._task: Task | None = None
@@ -165,14 +173,13 @@
             sent after `has_room` had said no.
         """
         self._task = self.scheduler.current()
-        if self._flush_scheduled:
+        if self._flush_scheduled and not self._is_retrying:
             # otherwise poll would wait for WRITABLE, which usually holds, and return immediately
             self.flush()
         bits = WOKEN
         if not self.close_reason and not self._has_new_room():
-            bits = self.scheduler.wait(
-                self._fd, events | (WRITABLE if self.send_buffer else 0), until
-            )
+            waits_to_send = self.send_buffer and not self._is_retrying
+            bits = self.scheduler.wait(self._fd, events | (WRITABLE if waits_to_send else 0), until)
         if bits > 0 and bits & WRITABLE and self.send_buffer:
             self.flush()
         self._room_refused_at = None
@@ -193,10 +200,8 @@
         """Whether the other side has neither closed the connection nor sent anything unread."""
         try:
             self._sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return self.close_reason is None
-        except OSError:
-            pass
+        except OSError as error:
+            return self.close_reason is None and error.errno in (errno.EAGAIN, errno.EINTR)
         return False
 
     def peer_has_closed(self) -> bool:
@@ -205,7 +210,10 @@
             return True
         poll = select.poll()
         poll.register(self._fd, PEER_CLOSED)
-        return bool(poll.poll(0))
+        try:
+            return bool(poll.poll(0))
+        except OSError:  # no memory for a moment: the event loop's own poll tells soon
+            return False
 
     def wake(self) -> None:
         """Wakes the task that uses this stream."""
@@ -218,10 +226,8 @@
             return self.close_reason
         try:
             return self._sock.recv(min(room, READ_CHUNK_BYTES)) or CloseReason.CLOSED
-        except (BlockingIOError, InterruptedError):
-            return None
-        except OSError:
-            return CloseReason.RESET
+        except OSError as error:
+            return None if error.errno in TRANSIENT_ERRORS else CloseReason.RESET
 
     def has_room(self, size: int) -> bool:
         """Whether the send buffer has room for `size` bytes.
@@ -265,16 +271,19 @@
 
     def flush(self) -> None:
         """Sends as much of the send buffer as the operating system accepts."""
-        self._flush_scheduled = False
+        self._flush_scheduled = self._is_retrying = False
         while self.send_buffer and self.close_reason is None:
             view = self.send_buffer.peek()
             try:
                 sent = self._sock.send(view)
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
                 self.scheduler.add_interest(self._fd, WRITABLE)
                 return
-            except OSError:
-                self._handle_send_failure(CloseReason.RESET)
+            except OSError as error:
+                if error.errno in TRANSIENT_ERRORS:
+                    self._retry_flush()
+                else:
+                    self._handle_send_failure(CloseReason.RESET)
                 return
             finally:
                 view.release()
@@ -283,6 +292,13 @@
             if self._room_refused_at is not None:
                 self.wake()
 
+    def _retry_flush(self) -> None:
+        """Sends again a little later; poll cannot tell when the call will succeed."""
+        if not self._is_retrying:
+            self._flush_scheduled = self._is_retrying = True
+            retry_at = self.scheduler.clock() + TRANSIENT_RETRY_S
+            self.scheduler.at(retry_at, self.flush)
+
     def _handle_send_failure(self, reason: CloseReason) -> None:
         if self.on_send_failure:
             self.on_send_failure(reason)
--- a/hazelhollow/soak/rig.py
+++ b/hazelhollow/soak/rig.py
@@ -87,6 +87,7 @@
         cells: Number of cells, over which the endpoints are spread.
         classes: The request classes of the settings.
         limits: The limits of each process in the platform's configuration.
+        module: The program's module; tests replace it by one that injects faults.
         work: Processing time of a request, in seconds.
         environment: Further environment variables of the limiters.
         settings: Keys that replace those of the settings.
@@ -99,6 +100,7 @@
     limits: Mapping[str, float] = field(
         default_factory=lambda: {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
     )
+    module: str = "hazelhollow"
     work: float = 0.005
     environment: Mapping[str, str] = field(default_factory=dict)
     settings: Mapping[str, Any] = field(default_factory=dict)
@@ -194,8 +196,8 @@
         self._add_process(name, name, number + 1)
 
     def _add_process(self, process: str, limiter: str, operator_host: int) -> None:
-        run = tomllib.loads(DEPLOY_FILE.read_text())["run"]
-        command = run.replace(".venv/bin/python", sys.executable)
+        run, module = tomllib.loads(DEPLOY_FILE.read_text())["run"], self.options.module
+        command = run.replace(".venv/bin/python -m hazelhollow", f"{sys.executable} -m {module}")
         home = self.folder / limiter
         environment = {
             "RELAY_CONFIG": str(home / "config.json"),
