Tell servers the time that is left, and free no request of its answer for memory

What callers saw: with connections that came up late, or clients that waited to be accepted, servers were told up to 0.25 s and 0.9 s too much; when all clients held too much memory, the largest session was closed over its open request. Cause: d was written when the attempt started, not when its connection was up; the wait in the accept queue was unknown; _limit_memory closed sessions whatever they were owed. Change: the command is encoded again once the connection is up; the first command's arrival is asked of the operating system (TCP_INFO); short of memory, large sessions read no further commands, long answers behind unread ones become errors, and only a session that holds nothing but a part of a command is ended.

--- a/hazelhollow/net/answer_slot.py
+++ b/hazelhollow/net/answer_slot.py
@@ -46,8 +46,16 @@
         self.session.write_answers()
 
     def send_value(self, value: bytes) -> None:
-        """Answers with the value that the endpoint returned."""
-        self.set_answer(resp.encode_bulk_string(value))
+        """Answers with the value that the endpoint returned.
+
+        A client that does not read its answers gets an error instead of another long one while
+        clients hold too much memory together.
+        """
+        is_next = self.session.slots[0] is self if self.session.slots else True
+        if is_next or self.session.may_keep(len(value)):
+            self.set_answer(resp.encode_bulk_string(value))
+        else:
+            self.send_failure()
 
     def start_value(self, length: int, on_room: Callable[[], object]) -> None:
         """Begins a value that is written piece by piece, once this slot is the first."""
--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -396,7 +396,7 @@
             action.endpoint,
             opened.parsed.command(max(1, round(timeout * 1000))),
             lambda result: self._attempt_ended(opened, number, result),
-            lambda: self._check_no_answer_needed(opened, action.execution is not None),
+            lambda: self._prepare_to_send(opened, number, now + timeout),
             ForwardedValue(self, opened, number),
         )
         attempt.execution = action.execution
@@ -410,6 +410,17 @@
                 now + timeout, self._pool.abort, attempt, CloseReason.TIMED_OUT
             )
 
+    def _prepare_to_send(self, opened: OpenRequest, number: int, ends_at: float) -> None:
+        """Called when the attempt's new connection is up and nothing has been sent on it.
+
+        Connecting took time, which the client does not have any more. `ends_at`: when the attempt
+        times out.
+        """
+        attempt = opened.attempts[number]
+        if not self._check_no_answer_needed(opened, attempt.execution is not None):
+            time_left = ends_at - self._scheduler.clock()
+            attempt.command = opened.parsed.command(max(1, round(time_left * 1000)))
+
     def _retract_execution(
         self, opened: OpenRequest, execution: api.Execution | None, started_at: float
     ) -> None:
--- a/hazelhollow/net/frontend.py
+++ b/hazelhollow/net/frontend.py
@@ -200,18 +200,23 @@
         self._limit_memory()
 
     def _limit_memory(self) -> None:
-        """Ends the largest sessions if all of them together hold too much memory.
+        """Makes the largest sessions save memory if all of them together hold too much.
 
-        Each session is within its own bounds, but their sum may exceed the total.
+        Each session is within its own bounds, but their sum may exceed the total. No request that
+        was read loses its answer for that: a session with outstanding answers reads no more
+        commands, and only one that holds nothing but a part of a command is ended, with an error.
         """
         held = {session: session.held_bytes() for session in self.sessions.sessions}
         total = sum(held.values())
+        fair_share = self._max_held_bytes // max(1, len(held))
+        is_short = total > self._max_held_bytes
         for session in sorted(held, key=held.__getitem__, reverse=True):
-            if total <= self._max_held_bytes:
-                break
-            total -= held[session]
-            self.stats.relieved += 1
-            session.end(CloseReason.STALLED)
+            is_large = is_short and held[session] > fair_share
+            if is_large and total > self._max_held_bytes and session.reject_partial_command():
+                total -= held[session]
+                self.stats.relieved += 1
+                continue
+            session.set_saving_memory(is_large)
 
     # Shutdown
 
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -35,6 +35,7 @@
     from hazelhollow.net.frontend import Frontend
 
 MAX_UNSENT_BYTES = 4 * resp.MAX_STRING_BYTES  # answers that the client has not read
+MAX_SAVED_ANSWER_BYTES = 1024  # kept behind unread answers while memory is short
 STALL_TIMEOUT_S = 10.0  # without a byte read by the client, while answers are pending
 COMMAND_TIMEOUT_S = 2.0  # for the rest of a command, and for the first one of a connection
 IDLE_TIMEOUT_S = 10.0
@@ -79,6 +80,7 @@
         self._linger_reason: CloseReason | None = None  # why the sending side was closed
         self._break_reason: CloseReason | None = None  # why the task has to end the session
         self._forwarded_values = 0  # of this session, that have begun and not ended
+        self._is_saving_memory = False
 
     def run(self) -> None:
         """Serves the session from its first byte to its end; the body of its task."""
@@ -173,6 +175,27 @@
             return CloseReason.IDLE
         return None
 
+    # Memory
+
+    def set_saving_memory(self, is_saving: bool) -> None:
+        """Sets whether no further commands are read and long answers are not kept."""
+        if self._is_saving_memory and not is_saving:
+            self._stream.wake()
+        self._is_saving_memory = is_saving
+
+    def may_keep(self, size: int) -> bool:
+        """Whether an answer of that size may wait until the client has read those before it."""
+        return not self._is_saving_memory or size <= MAX_SAVED_ANSWER_BYTES
+
+    def reject_partial_command(self) -> bool:
+        """Ends a session that holds only a part of a command; returns whether it does."""
+        if self.slots or self.reader.stopped or self.reader.is_between_commands():
+            return False
+        self.reader.reject_stream(self, "too many clients hold parts of commands")
+        self.reader.discard()
+        self._stream.wake()
+        return True
+
     # State queries
 
     def is_closed(self) -> bool:
@@ -235,7 +258,7 @@
             self.idle_since = self._frontend.scheduler.clock()
             self._frontend.sessions.set_idle(self, self.idle_since)
         has_free_slot = was_full and len(slots) < MAX_PIPELINED
-        if self.finishing or self.reader.stopped or has_free_slot:
+        if self.finishing or self.reader.stopped or has_free_slot or self._is_saving_memory:
             self._stream.wake()
 
     # Long values, which are written while they arrive
@@ -325,6 +348,7 @@
         if (
             self.reader.stopped
             or len(self.slots) >= MAX_PIPELINED
+            or (self._is_saving_memory and self.slots)
             or not self._stream.has_room(MAX_UNSENT_BYTES // 2)
         ):
             return None, 0
--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -26,6 +26,8 @@
     from hazelhollow.net.session import Session
 
 READ_CHUNK_BYTES = 16 * 1024
+MIN_ACCEPT_WAIT_S = 0.02  # below it the figure is as coarse as the operating system's clock
+MAX_ACCEPT_WAIT_S = 60.0  # beyond it the operating system's figure is not believed
 MAX_FINAL_BYTES = 1 << 20  # of one connection
 
 
@@ -66,6 +68,8 @@
             return data
         count = len(data or b"")
         arrived_since = self._arrived_since(is_empty=count < size)
+        if not self._reader.had_first_command:
+            arrived_since = min(arrived_since, self._accepted_input_since())
         if self._final_bytes is not None:
             self._final_bytes = max(self._final_bytes - count, 0)
         if data and not self._reader.stopped:
@@ -73,6 +77,12 @@
             self._reader.feed(session, data)
         return count
 
+    def _accepted_input_since(self) -> float:
+        """Returns when the last input arrived, possibly before its connection was accepted."""
+        waited = self._stream.seconds_since_last_input()
+        is_plausible = MIN_ACCEPT_WAIT_S <= waited <= MAX_ACCEPT_WAIT_S
+        return self._stream.scheduler.clock() - (waited if is_plausible else 0.0)
+
     def _arrived_since(self, is_empty: bool) -> float:
         """Returns the earliest time at which the bytes just read can have arrived."""
         arrived_since = self._stream.scheduler.arrived_since
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -9,6 +9,7 @@
 import errno
 import select
 import socket
+import struct
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 
@@ -30,6 +31,7 @@
 # holds several segments of the loopback device, or its window would be announced late.
 SYSTEM_SEND_BUFFER_BYTES = 128 * 1024
 SYSTEM_RECEIVE_BUFFER_BYTES = 256 * 1024
+LAST_DATA_RECEIVED_OFFSET = 52  # of tcpi_last_data_recv (ms) in <linux/tcp.h>, struct tcp_info
 ACCEPT_PAUSE_S = 0.05  # when no descriptor is left
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # The connection is as it was; the same call may succeed a moment later.
@@ -204,6 +206,22 @@
             return self.close_reason is None and error.errno in (errno.EAGAIN, errno.EINTR)
         return False
 
+    def seconds_since_last_input(self) -> float:
+        """Returns how long ago the operating system received the last bytes; 0 if it cannot tell.
+
+        They may have waited with their connection in the accept queue.
+        """
+        try:
+            info = self._sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED_OFFSET + 4
+            )
+        except OSError:
+            return 0.0
+        if len(info) < LAST_DATA_RECEIVED_OFFSET + 4:
+            return 0.0
+        (milliseconds,) = struct.unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)
+        return float(milliseconds) / 1000.0
+
     def peer_has_closed(self) -> bool:
         """Whether the other side has closed its sending side, even if bytes are still unread."""
         if self.close_reason is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import pytest
 from hypothesis import settings
 
+from hazelhollow.net.stream import Stream
 from tests.net.scenario import STAGES
 
 settings.register_profile("steady", deadline=None, derandomize=True)
@@ -25,6 +26,20 @@
     monkeypatch.setenv("TMPDIR", str(tmp_path))
 
 
+@pytest.fixture(autouse=True)
+def arrivals_by_the_clock_of_the_test(
+    request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Keeps the operating system's arrival times out of scenarios, whose clock stands still."""
+    if "system_arrival_times" not in request.fixturenames:
+        monkeypatch.setattr(Stream, "seconds_since_last_input", lambda _stream: 0.0)
+
+
+@pytest.fixture
+def system_arrival_times() -> None:
+    """Lets a test use the arrival times that the operating system tells."""
+
+
 @pytest.fixture(autouse=True)
 def stages_end() -> Iterator[None]:
     yield
