Keep starts and periods right when the wall clock was stepped before a start

Cause: the process's clock is the wall clock of its start; discovery's since_ms and peers' periods were compared with it as if it were right. Change: net/start_times.py converts starts: none lies in the future, and what discovery names for the first time while it is followed started recently. gossip/peer_periods.py learns a peer's constant difference from datagrams that all differ equally for 2 s; a merely late datagram stays stale. Open: an endpoint that is already in a limiter's first list; steps under 6 s, like a list that is late.

--- a/hazelhollow/decisions/gossip/receiver.py
+++ b/hazelhollow/decisions/gossip/receiver.py
@@ -14,6 +14,7 @@
 from hazelhollow.decisions.events import GossipReceived
 from hazelhollow.decisions.gossip import codec
 from hazelhollow.decisions.gossip.composer import GossipComposer
+from hazelhollow.decisions.gossip.peer_periods import MAX_AGE_PERIODS, PeerPeriods
 from hazelhollow.decisions.gossip.scheduler import GossipScheduler
 from hazelhollow.decisions.load_estimate import LoadEstimate
 from hazelhollow.decisions.outlier_detection import OutlierDetection
@@ -24,7 +25,6 @@
 from hazelhollow.decisions.state.peer_loads import PeerLoads
 from hazelhollow.decisions.state.replicated_accounts import ReplicatedAccounts
 
-MAX_AGE_PERIODS = 1  # of an applied report: only the current and the previous period are open
 LOGGED_CHARACTERS = 40  # length of the quoted text of an unusable datagram
 
 
@@ -66,6 +66,7 @@
         self._accounts, self._replicated, self._startup = account_state
         self._table, self._outliers, self._load, self._peer_loads = endpoint_state
         settings = context.settings
+        self._peer_periods = PeerPeriods()
         self.unusable: Counter[str] = Counter()
         self.plan_of = {codec.name_tag(plan.name): plan for plan in settings.plans}
         self.class_of = _names_by_tag(settings)
@@ -83,12 +84,11 @@
         message = self._decode(event)
         if message is None:
             return
-        age = (context.period - message.period) % codec.PERIODS
-        if (
-            age > MAX_AGE_PERIODS
-            or event.sender == settings.limiter_id
-            or not 0 <= event.sender < settings.limiter_count
-        ):
+        if event.sender == settings.limiter_id or not 0 <= event.sender < settings.limiter_count:
+            return
+        sender = event.sender, message.incarnation
+        age = self._peer_periods.age(sender, message.period, context.period, context.now)
+        if age is None:
             return
         self._startup.record_peer_incarnation(
             event.sender, message.incarnation, self._accounts.by_name.values()
--- a/hazelhollow/net/endpoint_list.py
+++ b/hazelhollow/net/endpoint_list.py
@@ -19,12 +19,14 @@
 import logging
 import math
 import re
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 from hazelhollow.decisions import interface as api
 from hazelhollow.net.address_occupants import AddressOccupants
 from hazelhollow.net.errors import EndpointListError
+from hazelhollow.net.start_times import StartTimes
 from hazelhollow.platform_config import parse_address
 
 _STATES: dict[str, api.EndpointState] = {
@@ -48,7 +50,9 @@
         ever_listed: All endpoint names that were ever listed in this process.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] | None = None) -> None:
+        """`clock`: the process's clock, to which start times are converted; None keeps them."""
+        self._start_times = StartTimes(clock) if clock else None
         self.version = 0
         self.entries: dict[str, api.EndpointEntry] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
@@ -82,6 +86,7 @@
             )
         parsed = _parse_entries(raw_entries, skip_unreadable=is_snapshot or not min_version)
         self.version = version
+        parsed = self._with_converted_starts(parsed, cached)
         superseded_before = set(self._occupants.superseded)
         if is_snapshot:
             self._remove_unlisted({entry.name for entry, _ in parsed})
@@ -101,7 +106,7 @@
 
     def _remove_unlisted(self, listed: set[str]) -> None:
         for name in self.entries.keys() - listed:
-            self._occupants.unlisted(name)
+            self._forget(name)
         self.entries, self.addresses = {}, {}
 
     def _apply_entry(self, entry: api.EndpointEntry, address: tuple[str, int]) -> None:
@@ -109,11 +114,33 @@
         if entry.state == "gone":
             self.entries.pop(entry.name, None)
             self.addresses.pop(entry.name, None)
-            self._occupants.unlisted(entry.name)
+            self._forget(entry.name)
         else:
             self.entries[entry.name], self.addresses[entry.name] = entry, address
             self._occupants.listed(entry)
 
+    def _forget(self, name: str) -> None:
+        self._occupants.unlisted(name)
+        if self._start_times:
+            self._start_times.forget(name)
+
+    def _with_converted_starts(
+        self, parsed: list[tuple[api.EndpointEntry, tuple[str, int]]], cached: bool
+    ) -> list[tuple[api.EndpointEntry, tuple[str, int]]]:
+        """Returns the entries with their starts by the process's clock."""
+        if not self._start_times:
+            return parsed
+        self._start_times.begin_list([entry.started for entry, _ in parsed], cached)
+        return [
+            (self._with_converted_start(self._start_times, entry), address)
+            for entry, address in parsed
+        ]
+
+    @staticmethod
+    def _with_converted_start(times: StartTimes, entry: api.EndpointEntry) -> api.EndpointEntry:
+        started = times.convert(entry.name, entry.started)
+        return entry if started == entry.started else replace(entry, started=started)
+
     def _effective(self, entry: api.EndpointEntry) -> api.EndpointEntry:
         """Returns the entry as the decision engine has to see it."""
         if entry.state == "up" and entry.name in self._occupants.superseded:
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -79,7 +79,7 @@
         )
         self.engine = DecisionEngine(self.settings_reload.settings, config.seed)
         self.engine_driver = self._build_engine_driver(config)
-        self.endpoint_list = EndpointList()
+        self.endpoint_list = EndpointList(scheduler.clock)
         if config.known is not None:
             self.engine_driver.notify(self.endpoint_list.apply(config.known, cached=True))
             self.pool.set_endpoints(
