soak: plans drawn from a seed, played on real processes and judged from outside (in work)

Need: orders of events that no test had drawn. Change: hazelhollow/soak/ draws clients, servers and operations from a seed, plays them on the rig and judges the record with a checker that shares no code with the limiter; soak run, many, plan and replay. What it found so far: the time that pipelined input waits in a socket that is read in chunks was not deducted (told time 0.16 s too much); the operating system's time of the last input is now asked while a backlog may be left.

--- a/hazelhollow/cli.py
+++ b/hazelhollow/cli.py
@@ -24,6 +24,7 @@
     "bench": ("hazelhollow.bench.commands", "bench"),
     "config": ("hazelhollow.operator.commands", "config"),
     "fleet": ("hazelhollow.fault_injection.commands", "fleet"),
+    "soak": ("hazelhollow.soak.commands", "soak"),
     "scale": ("hazelhollow.scale.commands", "scale"),
     "standin": ("hazelhollow.standins.commands", "standin"),
 }
--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -40,11 +40,20 @@
         is_reading: Whether the session waits for bytes.
     """
 
-    __slots__ = ("is_reading", "_stream", "_reader", "_unread_since", "_resumed_at", "_final_bytes")
+    __slots__ = (
+        "is_reading",
+        "_has_backlog",
+        "_stream",
+        "_reader",
+        "_unread_since",
+        "_resumed_at",
+        "_final_bytes",
+    )
 
     def __init__(self, stream: Stream, reader: CommandReader) -> None:
         self._stream, self._reader = stream, reader
         self.is_reading = True
+        self._has_backlog = False  # whether the last read may have left input in the socket
         # When the session stopped reading; None once the socket was found empty again.
         self._unread_since: float | None = None
         self._resumed_at = math.inf  # when it last began to read again; infinite while paused
@@ -68,8 +77,9 @@
             return data
         count = len(data or b"")
         arrived_since = self._arrived_since(is_empty=count < size)
-        if not self._reader.had_first_command:
-            arrived_since = min(arrived_since, self._accepted_input_since())
+        if self._has_backlog or not self._reader.had_first_command:
+            arrived_since = min(arrived_since, self._received_since())
+        self._has_backlog = count == size
         if self._final_bytes is not None:
             self._final_bytes = max(self._final_bytes - count, 0)
         if data and not self._reader.stopped:
@@ -77,8 +87,11 @@
             self._reader.feed(session, data)
         return count
 
-    def _accepted_input_since(self) -> float:
-        """Returns when the last input arrived, possibly before its connection was accepted."""
+    def _received_since(self) -> float:
+        """Returns when the operating system received the last input.
+
+        That may be before the connection was accepted, or while earlier input was executed.
+        """
         waited = self._stream.seconds_since_last_input()
         is_plausible = MIN_ACCEPT_WAIT_S <= waited <= MAX_ACCEPT_WAIT_S
         return self._stream.scheduler.clock() - (waited if is_plausible else 0.0)
--- /dev/null
+++ b/hazelhollow/soak/checker.py
@@ -0,0 +1,154 @@
+"""Judges a soak run from its record alone; shares no code with the limiter.
+
+| rule | the platform's sentence |
+| --- | --- |
+| answered | every request that was read gets one final answer, up to 0.5 s after its time |
+| value | a value is the one that a server made for this request, complete |
+| once | an unsafe request runs once; a keyed one in one cell only, within its window |
+| refusal | `-BUSY` only if nothing may have run, where a repetition is not harmless |
+| gone | no attempt begins more than 0.1 s after its client has closed |
+| unsound | a request that is not allowed gets an error or a close within 3 s, and never runs |
+| told time | a server is told at most what is left to the client, with 0.15 s of slack |
+| drain | nothing new to a draining server after the grace |
+| exit | a process ends with status 0, unless SIGKILL ended it at its time; none crashes |
+| service | after the last fault requests are served |
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from hazelhollow.soak.record import (
+    KEYED,
+    SAFE,
+    TIMED_BY_FIRST_BYTE,
+    UNSAFE,
+    ExecutionRecord,
+    RequestRecord,
+    SoakRecord,
+    digest,
+    value_for,
+)
+
+LATE_S = 0.5
+GONE_GRACE_S = 0.1
+UNSOUND_ANSWER_S = 3.0
+TOLD_SLACK_S = 0.15
+DRAIN_GRACE_S = 0.25 + 0.05
+KILL_AFTER_S = 3.7
+SIGKILL_STATUS = -9
+WINDOW_S = 5.0 + 0.05
+MAX_OWN_LATENESS_S = 0.08  # beyond it the run's own figures are not exact enough to judge
+
+
+class Violation(NamedTuple):
+    """A broken rule, and what was seen."""
+
+    rule: str
+    text: str
+
+
+def check(record: SoakRecord) -> list[Violation]:
+    """Returns the broken rules of a run."""
+    runs = defaultdict[str, list[ExecutionRecord]](list)
+    for execution in record.executions:
+        runs[execution.id].append(execution)
+    by_id = defaultdict[str, list[RequestRecord]](list)
+    for request in record.requests:
+        by_id[request.id].append(request)
+    found: list[Violation] = []
+    for request in record.requests:
+        found += _check_request(request, runs[request.id])
+    for request_id, requests in by_id.items():
+        found += _check_executions(requests, runs[request_id])
+    found += _check_processes(record)
+    drained = {drain.endpoint: drain.told_at for drain in record.drains}
+    for execution in record.executions:
+        told_at = drained.get(execution.endpoint)
+        if told_at is not None and execution.at > told_at + DRAIN_GRACE_S:
+            found.append(Violation("drain", f"{execution} {execution.at - told_at:.3f} s after"))
+    return found
+
+
+def is_measured(record: SoakRecord) -> bool:
+    """Whether the run's own process was on time, so that its figures count."""
+    return record.max_lateness <= MAX_OWN_LATENESS_S
+
+
+def _check_request(request: RequestRecord, runs: list[ExecutionRecord]) -> Iterator[Violation]:
+    if not request.is_sound:
+        yield from _check_unsound(request, runs)
+    elif request.outcome == "value":
+        yield from _check_value(request)
+    elif request.outcome == "silent":
+        yield Violation("answered", f"never: {request}")
+    elif request.outcome == "closed":
+        # The close of a resting connection may cross a request, which has then not been read.
+        if request.on_new_connection or any(run.at >= request.sent_at - 0.05 for run in runs):
+            yield Violation("answered", f"closed without an answer: {request}, {runs}")
+    elif request.outcome in ("busy", "error"):
+        yield from _check_refusal(request, runs)
+
+
+def _check_unsound(request: RequestRecord, runs: list[ExecutionRecord]) -> Iterator[Violation]:
+    in_time = request.ended_at - request.sent_at <= UNSOUND_ANSWER_S
+    if runs or request.outcome not in ("error", "closed") or not in_time:
+        yield Violation("unsound", f"{request}, ran {len(runs)} times")
+
+
+def _check_value(request: RequestRecord) -> Iterator[Violation]:
+    if request.value != digest(value_for(request.id, request.value_size)):
+        yield Violation("value", f"{request}")
+    is_long = request.value_size > TIMED_BY_FIRST_BYTE
+    yield from _check_time(request, request.first_byte_at if is_long else request.ended_at)
+
+
+def _check_refusal(request: RequestRecord, runs: list[ExecutionRecord]) -> Iterator[Violation]:
+    yield from _check_time(request, request.ended_at)
+    ran = [run for run in runs if not run.refused and run.at <= request.ended_at]
+    if request.outcome == "busy" and request.class_name != SAFE and ran:
+        yield Violation("refusal", f"{request}, but {ran}")
+
+
+def _check_time(request: RequestRecord, ended_at: float) -> Iterator[Violation]:
+    """The time spent waiting for answers before it does not count."""
+    late = ended_at - request.sent_at - request.wait
+    if not request.waits_behind and late > LATE_S:
+        yield Violation("answered", f"late by {late:.3f} s: {request}")
+
+
+def _check_executions(
+    requests: list[RequestRecord], runs: list[ExecutionRecord]
+) -> Iterator[Violation]:
+    first = requests[0]
+    ran = [run for run in runs if not run.refused]
+    if first.class_name == UNSAFE and len(ran) > 1:
+        yield Violation("once", f"{first.id} ran {len(ran)} times: {ran}")
+    if first.class_name == KEYED and ran:
+        if len({run.cell for run in ran}) > 1:
+            yield Violation("once", f"{first.id} ran in several cells: {ran}")
+        if ran[-1].at - ran[0].at > WINDOW_S + first.wait:
+            yield Violation("once", f"{first.id} ran after its window: {ran}")
+    if all(request.left_at for request in requests):
+        left_at = max(request.left_at for request in requests)
+        late = [run for run in runs if run.at > left_at + GONE_GRACE_S + TOLD_SLACK_S]
+        if late:
+            yield Violation("gone", f"{first.id} left at {left_at:.3f}: {late}")
+    if len(requests) == 1 and first.sent_at:
+        for run in runs:
+            left = first.sent_at + first.wait - run.at
+            if run.told_wait > left + TOLD_SLACK_S:
+                yield Violation("told time", f"{run.told_wait:.3f} told, {left:.3f} left: {first}")
+
+
+def _check_processes(record: SoakRecord) -> Iterator[Violation]:
+    for crash in record.crashes:
+        yield Violation("exit", f"crashed: {crash}")
+    for end in record.exits:
+        was_killed = end.status == SIGKILL_STATUS and end.after >= KILL_AFTER_S
+        if end.status != 0 and not was_killed:
+            yield Violation("exit", f"{end}")
+    if not record.served_at_end:
+        yield Violation("service", "no request was served after the last fault")
--- /dev/null
+++ b/hazelhollow/soak/clients.py
@@ -0,0 +1,205 @@
+"""The clients of a soak run: what each sends, when it leaves, and what it was answered."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from hazelhollow.net.scheduler import Scheduler
+from hazelhollow.soak.plan import SoakPlan
+from hazelhollow.soak.raw_client import RawClient
+from hazelhollow.soak.record import (
+    KEYED,
+    SAFE,
+    TIMED_BY_FIRST_BYTE,
+    UNSAFE,
+    RequestRecord,
+    SoakRecord,
+    digest,
+)
+from hazelhollow.soak.rig import Rig
+from hazelhollow.soak.wire import Kind, UnsoundAnswerError, encode
+
+CLASS_NAMES = (SAFE, KEYED, UNSAFE)
+CUSTOMERS = 40
+BODY_SIZES = (0, 1, 4, 1000, 16_384, 65_535, 65_536)
+SHORT_SIZES = (0, 1, 30, 500, 4096, 65_535, 65_536)
+LONG_SIZES = (65_537, 70_000, 200_000, 1_000_000, 4 << 20)
+WAITS_MS = (300, 700, 1500, 3000)
+LONG_SHARE, LEAVE_SHARE, UNSOUND_SHARE = 0.1, 0.15, 0.15
+ANSWER_TIMEOUT_S = 12.0  # beyond every deadline, stall and shutdown
+PAUSE_S = 0.12  # mean time between a client's requests
+OUTCOMES = {Kind.VALUE: "value", Kind.BUSY: "busy", Kind.ERROR: "error", Kind.STATUS: "error"}
+
+
+class SoakClient:
+    """One client: draws requests, sends them, and records what became of them."""
+
+    def __init__(self, rig: Rig, plan: SoakPlan, number: int, record: SoakRecord) -> None:
+        self._rig, self._plan, self._record = rig, plan, record
+        self._scheduler: Scheduler = rig.scheduler
+        self._draw = random.Random(plan.seed * 1000 + number)
+        self._client: RawClient | None = None
+        self._used = False  # whether the connection has had an answer
+        self.is_done = False
+
+    def run(self, until: float) -> None:
+        """Sends requests until that time; the body of its task."""
+        while self._scheduler.clock() < until:
+            self._scheduler.sleep(self._draw.expovariate(1.0 / PAUSE_S))
+            self._use_connection()
+        if self._client:
+            self._client.close()
+        self.is_done = True
+
+    def _use_connection(self) -> None:
+        if self._client is None or self._client.closed:
+            self._connect()
+        client = self._client
+        if client is None:
+            return
+        if self._plan.has("client: unsound") and self._draw.random() < UNSOUND_SHARE:
+            self._send_unsound(client)
+            return
+        count = 1
+        if self._plan.has("client: pipeline"):
+            count = self._draw.choice((1, 1, 2, 8, 64))
+        batch = [self._draw_request() for _ in range(count)]
+        self._send(client, batch)
+        leaves = self._plan.has("client: leave") or self._plan.has("client: resend")
+        if leaves and self._draw.random() < LEAVE_SHARE:
+            self._leave(client, [request for request, _ in batch], batch)
+            return
+        self._await_answers(client, [request for request, _ in batch])
+
+    def _connect(self) -> None:
+        if self._client:
+            self._client.close()
+        slow = self._plan.has("client: slow reader") and self._draw.random() < 0.3
+        name = self._draw.choice(self._rig.names)
+        self._client, self._used = self._rig.connect(name, 8192 if slow else 0), False
+        if not self._client.connected:
+            self._client.close()
+            self._client = None
+
+    # Requests
+
+    def _draw_request(self) -> tuple[RequestRecord, bytes]:
+        draw = self._draw
+        class_name = draw.choice(CLASS_NAMES)
+        wait_ms = min(draw.choice(WAITS_MS), 2000 if class_name == SAFE else 3000)
+        size = draw.choice(SHORT_SIZES)
+        if self._plan.has("server: long") and draw.random() < LONG_SHARE:
+            size = draw.choice(LONG_SIZES)
+        request_id = f"{draw.getrandbits(48):012x}{size:x}"
+        request = RequestRecord(request_id, class_name, wait_ms / 1000, value_size=size)
+        key = f"k={draw.getrandbits(64):016x}," if class_name == KEYED else ""
+        first = draw.randrange(self._plan.limiters)
+        fields = (
+            f"c={class_name},t=gold,d={wait_ms},{key}units={draw.randint(1, 4)},"
+            f"spread={self._plan.limiters},first={first}"
+        )
+        customer = f"{draw.randrange(CUSTOMERS):016x}"
+        words = [customer.encode(), request_id.encode(), fields.encode()]
+        if class_name == SAFE:
+            return request, encode(b"Q.ASK", *words)
+        large = self._plan.has("client: large body")
+        return request, encode(b"Q.DO", *words, b"B" * (draw.choice(BODY_SIZES) if large else 4))
+
+    def _send(self, client: RawClient, batch: list[tuple[RequestRecord, bytes]]) -> None:
+        in_pieces = self._plan.has("client: pieces")
+        for position, (request, data) in enumerate(batch):
+            request.on_new_connection = not self._used and position == 0
+            request.waits_behind = position
+            self._record.requests.append(request)
+            cuts = self._draw.choice((1, 2, 5)) if in_pieces else 1
+            size = -(-len(data) // cuts)
+            for start in range(0, len(data), size):
+                if start:
+                    client.read_for(0.03 * self._draw.random())
+                client.send(data[start : start + size])
+            request.sent_at = self._scheduler.clock()
+
+    def _await_answers(self, client: RawClient, requests: list[RequestRecord]) -> None:
+        waiting = deque(requests)
+        while waiting:
+            request = waiting.popleft()
+            try:
+                answer = client.answer(ANSWER_TIMEOUT_S)
+            except UnsoundAnswerError as error:
+                self._record.crashes.append(f"unsound answer to {request.id}: {error}")
+                answer = None
+            if answer is None:
+                request.ended_at = self._scheduler.clock()
+                self._record_missing(client, request, list(waiting))
+                return
+            request.first_byte_at, request.ended_at = client.first_byte_at, client.completed_at
+            self._used = True
+            request.outcome = OUTCOMES[answer.kind]
+            if answer.kind is Kind.VALUE:
+                request.value = digest(answer.text)
+
+    def _record_missing(
+        self, client: RawClient, request: RequestRecord, behind: list[RequestRecord]
+    ) -> None:
+        """Records a connection that ended, or said nothing, before an answer was complete."""
+        is_partial = client.partial_bytes() > 0 and request.value_size > TIMED_BY_FIRST_BYTE
+        request.outcome = "partial" if is_partial else "closed" if client.closed else "silent"
+        for later in behind:
+            later.ended_at = request.ended_at
+            later.outcome = "behind a broken value" if is_partial else request.outcome
+        client.close()
+        self._client = None
+
+    def _leave(
+        self,
+        client: RawClient,
+        requests: list[RequestRecord],
+        batch: list[tuple[RequestRecord, bytes]],
+    ) -> None:
+        client.pause_reading(0.15 * self._draw.random())
+        left_at = self._scheduler.clock()
+        client.close(reset=self._draw.random() < 0.3)
+        self._client = None
+        for request in requests:
+            request.left_at, request.ended_at, request.outcome = left_at, left_at, "left"
+        if not self._plan.has("client: resend"):
+            return
+        self._scheduler.sleep(0.2 * self._draw.random())
+        self._connect()
+        if self._client is None:
+            return
+        again = [
+            (
+                RequestRecord(one.id, one.class_name, one.wait, value_size=one.value_size,
+                              resent=True),
+                data,
+            )
+            for one, data in batch
+        ]  # fmt: skip
+        self._send(self._client, again)
+        self._await_answers(self._client, [request for request, _ in again])
+
+    def _send_unsound(self, client: RawClient) -> None:
+        request, data = self._draw_request()
+        request.is_sound = False
+        changed = {
+            "count": data.replace(b"*", b"*0", 1),
+            "length": data.replace(b"$16", b"$016", 1),
+            "status": data.replace(b"$16\r\n", b"+", 1),
+            "verb": data.replace(b"Q.", b"q.", 1),
+            "unknown field": data.replace(b"c=", b"x=", 1),
+            "no units": data.replace(b"units=", b"units=0", 1),
+            "sign": data.replace(b",d=", b",d=+", 1),
+        }
+        request.on_new_connection = not self._used
+        self._record.requests.append(request)
+        client.send(changed[self._draw.choice(sorted(changed))])
+        request.sent_at = self._scheduler.clock()
+        answer = client.answer(4.0)
+        request.ended_at = self._scheduler.clock()
+        request.outcome = (
+            OUTCOMES[answer.kind] if answer else "closed" if client.closed else "silent"
+        )
+        client.close()
+        self._client = None
--- a/hazelhollow/soak/raw_client.py
+++ b/hazelhollow/soak/raw_client.py
@@ -19,8 +19,10 @@
     """A client connection on its own socket; its methods block the current task.
 
     Attributes:
+        connected: Whether the connection was established.
         closed: Whether the limiter has closed or reset the connection.
-        first_byte_at: When the first byte was received (clock); 0 if none.
+        first_byte_at: When the first byte of the answer returned last was received (clock).
+        completed_at: When that answer was complete (clock).
         received_bytes: How many bytes were received.
     """
 
@@ -34,12 +36,14 @@
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self._sock.setblocking(False)
         self._reader = AnswerReader()
-        self._answers: deque[Answer] = deque()
+        self._answers: deque[tuple[Answer, float, float]] = deque()
+        self._partial_since = 0.0  # when the first byte of an incomplete answer was received
         self.closed = False
-        self.first_byte_at = 0.0
+        self.first_byte_at = self.completed_at = 0.0
         self.received_bytes = 0
         self._sock.connect_ex(address)
         self._wait(WRITABLE, scheduler.clock() + CONNECT_TIMEOUT_S)
+        self.connected = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
 
     def _wait(self, events: int, until: float) -> bool:
         bits = self._scheduler.wait(self._sock.fileno(), events, until)
@@ -63,6 +67,12 @@
         """Reads nothing for that many seconds."""
         self._scheduler.sleep(seconds)
 
+    def read_for(self, seconds: float) -> None:
+        """Reads what arrives within that many seconds."""
+        until = self._scheduler.clock() + seconds
+        while self._scheduler.clock() < until and not self.closed:
+            self.read_some(until)
+
     def read_some(self, until: float, size: int = READ_BYTES) -> bool:
         """Reads once; returns whether bytes arrived."""
         if self.closed or not self._wait(READABLE, until):
@@ -76,9 +86,12 @@
         if not data:
             self.closed = True
             return False
-        self.first_byte_at = self.first_byte_at or self._scheduler.clock()
+        now = self._scheduler.clock()
         self.received_bytes += len(data)
-        self._answers.extend(self._reader.feed(data))
+        for answer in self._reader.feed(data):
+            self._answers.append((answer, self._partial_since or now, now))
+            self._partial_since = 0.0
+        self._partial_since = (self._partial_since or now) if self._reader.received else 0.0
         return True
 
     def answer(self, timeout: float) -> Answer | None:
@@ -86,7 +99,10 @@
         until = self._scheduler.clock() + timeout
         while not self._answers and not self.closed and self._scheduler.clock() < until:
             self.read_some(until)
-        return self._answers.popleft() if self._answers else None
+        if not self._answers:
+            return None
+        answer, self.first_byte_at, self.completed_at = self._answers.popleft()
+        return answer
 
     def partial_bytes(self) -> int:
         """Returns how many bytes of an incomplete answer were received."""
--- /dev/null
+++ b/hazelhollow/soak/record.py
@@ -0,0 +1,101 @@
+"""What a soak run has seen: requests of clients, executions of endpoints, and what was told."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+
+KEYED, SAFE, UNSAFE = "buy", "look", "pay"
+TIMED_BY_FIRST_BYTE = 64 * 1024  # a longer value is timed by its first byte
+
+
+@dataclass
+class RequestRecord:
+    """One request, as its client saw it. Times are readings of the run's clock; 0: never.
+
+    Attributes:
+        id: The request's id.
+        class_name: Its class.
+        wait: Seconds for which the client would wait.
+        sent_at: When its last byte was sent on its latest connection.
+        is_sound: Whether the pages allow it.
+        value_size: The size of the value that endpoints make for it.
+        left_at: When its client closed the connection without waiting any longer.
+        first_byte_at: When the first byte of its answer was there.
+        ended_at: When its answer was complete, or its connection had ended.
+        outcome: `value`, `busy`, `error`, `partial`, `closed`, `silent`, `left` or `refused`.
+        value: A digest of the value.
+        waits_behind: How many answers of its connection were due before its own.
+        on_new_connection: Whether it was the first request of its connection.
+        resent: Whether it was sent again under the same id.
+    """
+
+    id: str
+    class_name: str
+    wait: float
+    sent_at: float = 0.0
+    is_sound: bool = True
+    value_size: int = 0
+    left_at: float = 0.0
+    first_byte_at: float = 0.0
+    ended_at: float = 0.0
+    outcome: str = ""
+    value: str = ""
+    waits_behind: int = 0
+    on_new_connection: bool = True
+    resent: bool = False
+
+
+@dataclass(frozen=True)
+class ExecutionRecord:
+    """One request that an endpoint has begun, or refused with `-BUSY`."""
+
+    at: float
+    endpoint: str
+    cell: int
+    id: str
+    told_wait: float
+    refused: bool
+
+
+@dataclass(frozen=True)
+class DrainRecord:
+    """An endpoint that every limiter was told to drain."""
+
+    endpoint: str
+    told_at: float
+
+
+@dataclass(frozen=True)
+class ExitRecord:
+    """The end of a limiter's process: when, how long after SIGTERM, and its status."""
+
+    process: str
+    at: float
+    after: float
+    status: int | None
+
+
+@dataclass
+class SoakRecord:
+    """Everything that the checker judges."""
+
+    requests: list[RequestRecord] = field(default_factory=list)
+    executions: list[ExecutionRecord] = field(default_factory=list)
+    drains: list[DrainRecord] = field(default_factory=list)
+    exits: list[ExitRecord] = field(default_factory=list)
+    crashes: list[str] = field(default_factory=list)
+    max_lateness: float = 0.0  # by which the run's own process was late
+    served_at_end: bool = False
+    peak_memory_kb: int = 0
+
+
+def value_for(request_id: str, size: int) -> bytes:
+    """Returns the value that every endpoint makes for a request."""
+    block = hashlib.sha256(request_id.encode()).digest()
+    return (block * (size // len(block) + 1))[:size]
+
+
+def digest(value: bytes) -> str:
+    """Returns what stands for a value in a record."""
+    return hashlib.sha256(value).hexdigest()[:16]
--- a/hazelhollow/soak/rig.py
+++ b/hazelhollow/soak/rig.py
@@ -46,7 +46,7 @@
 READY_POLL_S = 0.05
 RUN_TIMEOUT_S = 120.0
 LONG_AGO = 0.0  # start time of an endpoint that does not warm up
-UPGRADE_OFFSET = 40  # of the operator address's last octet, for the new process of an upgrade
+UPGRADE_OFFSET = 6  # of the operator address's last octet, for the new process of an upgrade
 
 CLASSES: tuple[dict[str, Any], ...] = (
     {"name": "look", "objective": 1.0, "deadline": 2.0, "effect": "pure"},
@@ -294,8 +294,10 @@
 
     def start_upgrade(self, name: str) -> str:
         """Starts the new process of an upgrade beside the old one; returns its process name."""
-        process = f"{name}'"
-        self._add_process(process, name, self.names.index(name) + 1 + UPGRADE_OFFSET)
+        generation = 1 + sum(known.startswith(f"{name}'") for known in self.processes.members)
+        process = f"{name}'{generation}"
+        host = self.names.index(name) + 1 + UPGRADE_OFFSET * generation
+        self._add_process(process, name, host)
         self.processes.start(process)
         return process
 
