--- a/hazelhollow/soak/run.py
+++ b/hazelhollow/soak/run.py
@@ -48,6 +48,7 @@
         self._busy = {f"s-{number}": 0 for number in range(plan.endpoints)}
         self._crowd: list[RawClient] = []
         self._starting = set[str]()
+        self._broken_files = set[str]()  # limiters whose file is broken now
         self._ending = set[str]()  # processes that have been told to end
         self._refused = set[tuple[str, bytes]]()  # endpoints with the ids that they refused
         self._kinds = [kind for kind in FAULTY_ANSWERS if plan.has(f"server: {kind}")]
@@ -84,10 +85,11 @@
         for idle in self._crowd:
             idle.close()
         self._probe()
-        for name, process in self._running.items():
-            self.record.peak_memory_kb = max(self.record.peak_memory_kb, rig.memory_kb(process))
+        for process in self._running.values():
             if rig.processes.reap(process):
-                self.record.crashes.append(f"{process}: {rig.log(name, 300)}")
+                self.record.crashes.append(f"{process}: {rig.log(process, 300)}")
+            else:
+                self.record.peak_memory_kb = max(self.record.peak_memory_kb, rig.memory_kb(process))
 
     def _measure_lateness(self) -> None:
         while True:
@@ -162,16 +164,26 @@
 
     def _broken_file(self, name: str) -> None:
         path = self.rig.folder / name / "config.json"
+        if name in self._broken_files or self._running[name] in self._starting:
+            return
+        self._broken_files.add(name)
         whole = path.read_bytes()
         path.write_bytes(whole[: self._draw.randrange(len(whole))])
         self.rig.processes.signal(self._running[name], signal.SIGHUP)
         self.rig.scheduler.sleep(0.3)
         path.write_bytes(whole)
+        self._broken_files.discard(name)
+
+    def _await_whole_file(self, name: str) -> None:
+        """No process starts with a broken file: it would end, as it should."""
+        while name in self._broken_files:
+            self.rig.scheduler.sleep(0.05)
 
     def _restart(self, name: str) -> None:
         process = self._running[name]
         if self._end(process):
             self._starting.add(process)
+            self._await_whole_file(name)
             self.rig.start(process)  # until it is ready
             self._starting.discard(process)
 
@@ -179,6 +191,7 @@
         old = self._running[name]
         if not self.rig.processes.members[old].running or old in self._ending:
             return
+        self._await_whole_file(name)
         new = self.rig.start_upgrade(name)
         self._running[name] = new
         self._starting.add(new)
