--- a/tests/soak/test_many_and_hostile_clients.py
+++ b/tests/soak/test_many_and_hostile_clients.py
@@ -191,3 +191,44 @@
 
         rig.run(scenario)
     assert max(memory) < MEMORY_MB * 1024 and memory[-1] < memory[0] + 20 * 1024, memory[::6]
+
+
+def test_slow_readers_of_long_answers_and_slow_writers_together_pass_the_memory_limit() -> None:
+    """100 clients read 2 MiB slowly while 200 write most of a 64 KiB request and stop."""
+    memory, whole = list[int](), list[bool]()
+    value, half = bytes(2 << 20), request("pay", new_id(), 2000, b"B" * 65000)[:60_000]
+    with Rig(RigOptions(limits=LIMITS)) as rig:
+        rig.script = lambda _: [Write(answer(value))]
+
+        def read(client: RawClient) -> None:
+            until = rig.scheduler.clock() + 25.0
+            while client.received_bytes <= len(value) and rig.scheduler.clock() < until:
+                client.read_some(until, 1 << 14)
+            found = client.answer(1.0)
+            whole.append(found is not None and found.text == value)
+            client.close()
+
+        def write(client: RawClient) -> None:
+            client.send(half[:30_000], 0.5)
+            rig.scheduler.sleep(0.3)
+            client.send(half[30_000:], 0.5)
+
+        def scenario() -> None:
+            rig.start()
+            writers = [rig.connect() for _ in range(200)]
+            for client in writers:
+                rig.scheduler.spawn(write, client)
+            for _ in range(100):  # each begins before the next, so that none is rejected
+                client = rig.connect(receive_buffer=8192)
+                client.send(request("look", new_id()))
+                client.read_some(rig.scheduler.clock() + 2.0, 1)
+                memory.append(rig.memory_kb("n0"))
+                rig.scheduler.spawn(read, client)
+            while len(whole) < 100:
+                memory.append(rig.memory_kb("n0"))
+                rig.scheduler.sleep(0.05)
+            for client in writers:
+                client.close()
+
+        rig.run(scenario)
+    assert whole == [True] * 100 and max(memory) < MEMORY_MB * 1024, max(memory)
