Send what a client is owed before a broken value closes its connection

What callers saw: with a client that reads slowly, an answer before a long value was lost when that value broke off: the connection was closed over unsent bytes. Cause: the session ended in the turn of the break, and Stream.close drops its send buffer. Change: it reads no further command and ends once the buffer is empty, or after the stall time. Evidence: test_answer_before_a_broken_value_is_sent_before_the_close fails before and passes.

--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -287,7 +287,7 @@
     def break_off(self) -> None:
         """Closes the connection: the client must not take an incomplete value for a complete one.
 
-        What was written before is sent first.
+        What was written before is sent first: answers to earlier commands may be part of it.
         """
         self._break_reason = CloseReason.CLOSED
         self._stream.wake()
@@ -299,10 +299,7 @@
         """Reads and executes commands until the connection has to end; returns the reason."""
         connection = self._stream
         while connection.close_reason is None and not self._linger_reason:
-            if self._break_reason:
-                connection.flush()
-                return self._break_reason
-            if self.reader.stopped or self.finishing:
+            if self._break_reason or self.reader.stopped or self.finishing:
                 connection.flush()
                 self._stop_accepting_if_due()
                 reason = self._reason_if_finished()
@@ -333,7 +330,9 @@
             self._input.stop_accepting(self)
 
     def _reason_if_finished(self) -> CloseReason | None:
-        """Returns the close reason if FINISHING or REJECTED is over, else None."""
+        """Returns the close reason if FINISHING, REJECTED or a broken value is over, else None."""
+        if self._break_reason:
+            return None if self._stream.send_buffer else self._break_reason
         if self.reader.stopped and self._has_sent_all_answers():
             return CloseReason.MALFORMED
         if self.finishing and (
@@ -347,6 +346,7 @@
         """Returns when to continue with bytes already read, and the poll events to wait for."""
         if (
             self.reader.stopped
+            or self._break_reason
             or len(self.slots) >= MAX_PIPELINED
             or (self._is_saving_memory and self.slots)
             or not self._stream.has_room(MAX_UNSENT_BYTES // 2)
--- a/tests/net/test_value_forwarding.py
+++ b/tests/net/test_value_forwarding.py
@@ -4,6 +4,7 @@
 
 import socket
 from dataclasses import replace
+from typing import Any
 
 from hazelhollow.net.connection_pool import FORWARDING_STALL_S
 from hazelhollow.net.value_forwarding import (
@@ -101,6 +102,36 @@
     stage.play("a expect closed")
 
 
+class BlockedSocket:
+    """A socket whose system takes nothing while it is blocked."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock, self.is_blocked = sock, True
+
+    def send(self, data: bytes) -> int:
+        if self.is_blocked:
+            raise BlockingIOError
+        return self._sock.send(data)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+
+def test_answer_before_a_broken_value_is_sent_before_the_close() -> None:
+    """The client's system takes nothing for a while, and the value behind the answer breaks off."""
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}\na send {ask(2)}\ns1.2 expect {ask(2)}")
+    (session,) = stage.service.frontend.sessions.sessions
+    blocked = BlockedSocket(session._stream._sock)
+    session._stream._sock = blocked  # type: ignore[assignment]
+    stage._end("s1.2").sendall(HEAD + VALUE_BYTES[:20_000])
+    stage.play(f"s1.1 send {VALUE}\ns1.2 close\na expect nothing\nwait 0.3\na expect nothing")
+    blocked.is_blocked = False
+    got = read_all(stage._end("a"), stage)
+    assert got.startswith(b"$2\r\nhi\r\n$%d\r\n" % SIZE) and len(got) < SIZE
+    stage.play("a expect closed")
+
+
 def test_windows_of_all_values_share_the_memory_for_them() -> None:
     window = ForwardingWindow(16 << 20)
     assert window.size() == MAX_WINDOW_BYTES
