--- a/tests/soak/test_many_and_hostile_clients.py
+++ b/tests/soak/test_many_and_hostile_clients.py
@@ -232,3 +232,40 @@
 
         rig.run(scenario)
     assert whole == [True] * 100 and max(memory) < MEMORY_MB * 1024, max(memory)
+
+
+def test_requests_are_forwarded_without_room_for_their_answers() -> None:
+    """200 clients stop in a body of 60 KB; 200 send 64 commands for 60 KB answers and read none."""
+    memory, limits = list[int](), {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+    half = request("pay", new_id(), 2000, b"B" * 60_500)[:60_000]
+    with Rig(RigOptions(limits=limits, endpoints=140)) as rig:  # so many that none is overloaded
+        rig.script = lambda _: [Write(answer(bytes(60_000)))]
+
+        def stop_in_a_body(client: RawClient) -> None:
+            for start in range(0, len(half), 20_000):
+                client.send(half[start : start + 20_000], 0.5)
+                rig.scheduler.sleep(0.1)
+
+        def read_nothing(client: RawClient) -> None:
+            client.send(b"".join(request("look", new_id()) for _ in range(64)), 1.0)
+
+        def scenario() -> None:
+            rig.start()
+            prober = Prober(rig)
+            clients = [rig.connect(receive_buffer=8192) for _ in range(400)]
+            for number, client in enumerate(clients):
+                rig.scheduler.spawn(read_nothing if number % 2 else stop_in_a_body, client)
+                rig.scheduler.sleep(0.015)
+                memory.append(rig.memory_kb("n0"))
+            for _ in range(50):
+                memory.append(rig.memory_kb("n0"))
+                rig.scheduler.sleep(0.1)
+            prober.running = False
+            rig.scheduler.sleep(0.3)
+            for client in clients:
+                client.close()
+            assert prober.kinds[None] == 0 and prober.kinds[Kind.ERROR] == 0, prober.kinds
+            assert prober.kinds[Kind.VALUE] > 20, prober.kinds
+
+        rig.run(scenario)
+    assert max(memory) < 192 * 1024, max(memory)
