Let an id stand for one request, whoever sends it, while that is open or runs

Cause: EngineDriver.submit made a second id of the id and the customer. Change: an id in open_requests is answered with an error and counted (duplicate_ids); the first request keeps its answer. The executions remembered of ended requests stay apart by customer.

--- a/hazelhollow/decisions/state/executions.py
+++ b/hazelhollow/decisions/state/executions.py
@@ -64,11 +64,11 @@
 
     def find(self, event: RequestArrived) -> tuple[Execution, ...]:
         """Returns the executions of a request's id."""
-        return tuple(self._by_id.get(_key(event.customer, event.id), ()))
+        return tuple(self._by_id.get((event.customer, event.id), ()))
 
     def add(self, customer: str, request_id: str, execution: Execution, now: float) -> None:
         """Remembers an execution, and forgets old ones."""
-        key = _key(customer, request_id)
+        key = (customer, request_id)
         executions = self._by_id.pop(key, [])
         executions.append(execution)
         self._by_id[key] = executions
@@ -76,7 +76,7 @@
 
     def discard(self, customer: str, request_id: str, execution: Execution) -> None:
         """Forgets an execution that surely never ran."""
-        key = _key(customer, request_id)
+        key = (customer, request_id)
         remaining = [one for one in self._by_id.get(key, ()) if not _is_same(one, execution)]
         if remaining:
             self._by_id[key] = remaining
@@ -104,10 +104,5 @@
             del self._by_id[key]
 
 
-def _key(customer: str, request_id: str) -> tuple[str, str]:
-    """Returns the key of a request; the driver adds the customer to an id that two of them use."""
-    return customer, request_id.removesuffix(f"/{customer}")
-
-
 def _is_same(one: Execution, other: Execution) -> bool:
     return one is other or bool(one.shared_id and one.shared_id == other.shared_id)
--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -21,7 +21,6 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Protocol
 
 from hazelhollow.decisions import interface as api
@@ -110,15 +109,10 @@
             self._stats.reply(request.class_name, "overload")
             responder.send_busy(0)
             return None
-        duplicate = self.open_requests.get(request.id)
-        if duplicate and duplicate.parsed.request.customer != request.customer:
-            # Two customers may choose the same id; these are independent requests.
-            request = parsed.request = replace(request, id=f"{request.id}/{request.customer}")
-            duplicate = self.open_requests.get(request.id)
-        if duplicate:
-            # Every request of a customer has its own id, also a client's retry. The first request
-            # gets the answer. If two requests of that id were in flight, an endpoint's answer could
-            # not be assigned to either.
+        if request.id in self.open_requests:
+            # An id stands for one request, whoever sends it, while that is open or runs; an
+            # endpoint's answer could not be assigned to either of two. The first one goes on.
+            self._stats.duplicate_ids += 1
             self._stats.failed += 1
             self._stats.reply(request.class_name, "error")
             responder.send_failure()
@@ -155,14 +149,27 @@
         if opened.forwarding:
             self._stats.clients_gone += 1
             self._pool.abort(opened.forwarding, CloseReason.CANCELLED)
-            return
-        if not opened.answered:
+        elif not opened.answered:
             self._stats.clients_gone += 1
             opened.answered = True
             self._handle(api.ClientDisconnected(opened.id), opened)
             for attempt in opened.attempts:
                 self._pool.withdraw(attempt, CloseReason.CANCELLED)
 
+    def give_up(self, opened: OpenRequest) -> None:
+        """Ends a request whose client has sent something unreadable, and all its attempts.
+
+        The caller answers it with an error.
+        """
+        self._stats.given_up += 1
+        self._stats.failed += 1
+        self._stats.reply(opened.parsed.request.class_name, "error")
+        if not opened.answered:
+            opened.answered = True
+            self._handle(api.ClientDisconnected(opened.id), opened)
+        for attempt in opened.attempts:
+            self._pool.abort(attempt, CloseReason.CANCELLED)
+
     # Other events
 
     def notify(self, event: api.Event) -> None:
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -32,6 +32,9 @@
         self.refused = 0
         self.failed = 0
         self.clients_gone = 0
+        self.duplicate_ids = 0  # answered with an error: their id was open or ran
+        self.given_up = 0  # answered with an error: their client has sent something unreadable
+        self.late_answers = 0  # final answers that came over 0.5 s after their time
         self.refusals: Counter[str] = Counter()  # by the engine's reason
         self.rescued = 0  # answered with an error because the engine had not answered
         # Attempts
