Judge what was read before forwarding any of it, and read only what there is room for

Cause, one for both: a command was executed as soon as it was complete, before the bytes behind it were looked at and before there was room for its answer; a protocol error waited for all answers; memory was checked every 0.25 s, afterwards. CommandReader parses all that was read into a queue before it executes the first command. Session.reject makes everything owed an error and gives the attempts up, at once. ClientMemory counts what is held and reserves the largest collected answer for each request; without room a session neither reads nor executes, a command's own deadline bounds its wait, and a client's first request may use twice the memory that pipelined ones may. Session ends, flushes and rejections release it. Both faults are in the same lines (from read to execution), so that they are mended in one commit.

--- a/hazelhollow/net/answer_slot.py
+++ b/hazelhollow/net/answer_slot.py
@@ -23,15 +23,25 @@
     Attributes:
         answer: The encoded answer for the client; None until it is available.
         open_request: The request whose answer is awaited; None if there is none.
-        size: Bytes held in memory: first those of the command, later those of the answer.
+        size: Bytes held in memory: first those that the command and its answer may need, later
+            those of the answer.
+        has_begun: Whether the answer, or a part of it, was written.
         on_room: While a long value is being forwarded: called when the connection takes more of it;
             else None.
     """
 
-    __slots__ = ("session", "answer", "open_request", "size", "on_room", "_value_head")
+    __slots__ = (
+        "session",
+        "answer",
+        "open_request",
+        "size",
+        "has_begun",
+        "on_room",
+        "_value_head",
+    )
 
     def __init__(self, session: Session) -> None:
-        self.session, self.size = session, 0
+        self.session, self.size, self.has_begun = session, 0, False
         self.answer: bytes | None = None
         self.on_room: Callable[[], object] | None = None
         self._value_head = b""  # of a forwarded value, until it is written
@@ -42,24 +52,42 @@
         # The open request refers back to this slot. Dropping the reference breaks the cycle, which
         # would otherwise keep both, the session and its buffers in memory until the cycle collector
         # runs.
-        self.answer, self.size, self.open_request = answer, len(answer), None
+        self.answer, self.open_request = answer, None
+        self.resize(len(answer))
         self.session.write_answers()
 
-    def send_value(self, value: bytes) -> None:
-        """Answers with the value that the endpoint returned.
+    def is_answered(self) -> bool:
+        """Whether the answer is available."""
+        return self.answer is not None
+
+    def resize(self, size: int) -> None:
+        """Sets the bytes that are held in memory, and counts them for all clients together."""
+        self.session.memory.add(size - self.size)
+        self.size = size
+
+    def give_up(self) -> None:
+        """Ends a command of a client that has sent something unreadable: it gets an error."""
+        opened, self.open_request = self.open_request, None
+        if opened:
+            self.session.engine_driver.give_up(opened)
+        if self.on_room:
+            self.break_value()
+        elif not self.has_begun:  # it may have been answered and written by now
+            self.set_answer(b"-ERR failed\r\n")
+
+    def send_pong(self) -> None:
+        """Answers a `PING`, unless it has been given up meanwhile."""
+        if not self.is_answered():
+            self.set_answer(b"+PONG\r\n")
 
-        A client that does not read its answers gets an error instead of another long one while
-        clients hold too much memory together.
-        """
-        is_next = self.session.slots[0] is self if self.session.slots else True
-        if is_next or self.session.may_keep(len(value)):
-            self.set_answer(resp.encode_bulk_string(value))
-        else:
-            self.send_failure()
+    def send_value(self, value: bytes) -> None:
+        """Answers with the value that the endpoint returned."""
+        self.set_answer(resp.encode_bulk_string(value))
 
     def start_value(self, length: int, on_room: Callable[[], object]) -> None:
         """Begins a value that is written piece by piece, once this slot is the first."""
-        self._value_head, self.on_room, self.size = b"$%d\r\n" % length, on_room, 0
+        self._value_head, self.on_room = b"$%d\r\n" % length, on_room
+        self.resize(0)  # what is written is counted by the send buffer
         self.session.start_value()
 
     def value_room(self) -> int:
--- /dev/null
+++ b/hazelhollow/net/client_memory.py
@@ -0,0 +1,88 @@
+"""The memory that is held for clients, and whether there is room for another request.
+
+A request is read and executed only while there is room for what it and its answer may need, which
+is `REQUEST_BYTES` until the answer is known. The first request of a connection, which is all that
+most clients ever have open, may use all of the memory; those that a client sends behind it may use
+a part. So clients that send many requests and read no answers leave room for the others.
+
+| counted | from | until |
+| --- | --- | --- |
+| bytes read and not executed | they are read | the command is executed |
+| `REQUEST_BYTES` and the command | a request is executed | its answer is known |
+| the answer | it is known | it is in the connection's send buffer |
+| the send buffer beyond its initial size | it grows | the operating system has taken all of it |
+
+No I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+REQUEST_BYTES = 65 * 1024  # the largest answer that is collected, and the records of its request
+
+
+class ClientMemory:
+    """Counts the memory held for all clients together.
+
+    Attributes:
+        held_bytes: The memory that is held or reserved now.
+        max_bytes: The most that may be held.
+    """
+
+    def __init__(
+        self,
+        max_bytes: int,
+        max_pipelined_bytes: int,
+        at_end_of_turn: Callable[[Callable[[], None]], object],
+    ) -> None:
+        """Creates an empty account.
+
+        Args:
+            max_bytes: The most that may be held.
+            max_pipelined_bytes: The most up to which a client may have more than one request.
+            at_end_of_turn: Makes a call at the end of the event loop's turn.
+        """
+        self.max_bytes, self._max_pipelined_bytes = max_bytes, max_pipelined_bytes
+        self._at_end_of_turn = at_end_of_turn
+        self.held_bytes = 0
+        # The calls that wake clients, by whether these have other requests, the oldest first.
+        self._waiting: dict[bool, dict[Callable[[], None], None]] = {False: {}, True: {}}
+        self._is_wake_due = False
+
+    def add(self, count: int) -> None:
+        """Adds to the memory that is held; a negative number releases some."""
+        self.held_bytes += count
+        if count < 0 and any(self._waiting.values()) and not self._is_wake_due:
+            self._is_wake_due = True
+            self._at_end_of_turn(self._wake_waiting)
+
+    def has_room(self, is_pipelined: bool) -> bool:
+        """Whether another request may be read or executed.
+
+        `is_pipelined`: whether its client has other requests or unread answers.
+        """
+        return self._room(is_pipelined) > 0 or not self.held_bytes
+
+    def wait_for_room(self, wake: Callable[[], None], is_pipelined: bool) -> None:
+        """Calls `wake` once, when there may be room; the caller then has to ask again."""
+        self.stop_waiting(wake)
+        self._waiting[is_pipelined][wake] = None
+
+    def stop_waiting(self, wake: Callable[[], None]) -> None:
+        """Withdraws `wait_for_room`."""
+        for waiting in self._waiting.values():
+            waiting.pop(wake, None)
+
+    def _room(self, is_pipelined: bool) -> int:
+        """Returns for how many requests there is room."""
+        limit = self._max_pipelined_bytes if is_pipelined else self.max_bytes
+        return max(limit - self.held_bytes, 0) // REQUEST_BYTES
+
+    def _wake_waiting(self) -> None:
+        """Wakes as many clients as there is room for, those that have waited longest."""
+        self._is_wake_due = False
+        for is_pipelined, waiting in self._waiting.items():
+            for wake in list(waiting)[: self._room(is_pipelined)]:
+                del waiting[wake]
+                wake()
--- a/hazelhollow/net/command_reader.py
+++ b/hazelhollow/net/command_reader.py
@@ -1,5 +1,9 @@
 """Reading one client's commands: from bytes to answer slots, and from there to the engine driver.
 
+All bytes that were read are parsed before the first command among them is executed: what cannot be
+read makes everything unsound that its client is still owed (`session.Session.reject`). Commands
+then wait in a queue, in their order, until they may be executed.
+
 States of the reader, of which STOPPED is final:
 
 | state | fields | left by |
@@ -11,15 +15,18 @@
 
 After `session.COMMAND_TIMEOUT_S` in FIRST or PARTIAL the session is closed if nothing has arrived;
 an incomplete command is rejected. Input that violates the protocol leads to STOPPED from every
-state: the client gets one error after its outstanding answers.
+state.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
 
 from hazelhollow.net import resp
 from hazelhollow.net.answer_slot import AnswerSlot
+from hazelhollow.net.client_memory import REQUEST_BYTES
+from hazelhollow.net.command_parser import CommandParser
 from hazelhollow.net.errors import BadCommandError, ProtocolError
 from hazelhollow.net.requests import ParsedRequest
 
@@ -31,6 +38,21 @@
 MAX_COMMANDS_PER_TURN = 16  # of one connection, before other connections are served
 MAX_BAD_COMMANDS = 16  # in a row, after which the connection is closed
 REQUEST_COMMANDS = (b"Q.ASK", b"Q.DO")
+QUEUED_COMMAND_BYTES = 256  # of memory, beside its arguments
+
+
+class QueuedCommand(NamedTuple):
+    """A command that was read and not executed yet.
+
+    Attributes:
+        arguments: Its arguments, its name first.
+        arrived_since: The earliest time at which its last bytes can have arrived.
+        size: Bytes held in memory for it.
+    """
+
+    arguments: list[bytes]
+    arrived_since: float
+    size: int
 
 
 class CommandReader:
@@ -41,7 +63,6 @@
 
     Attributes:
         awaiting_since: When the reader began to wait for a complete command; None between commands.
-        has_more: Whether the bytes read so far may contain another complete command.
         arrived_since: The earliest time at which the bytes read last can have arrived.
         had_first_command: Whether a complete command has arrived.
         first_command_until: Until when a limiter that is shutting down waits for the first command.
@@ -50,7 +71,6 @@
 
     __slots__ = (
         "awaiting_since",
-        "has_more",
         "arrived_since",
         "had_first_command",
         "first_command_until",
@@ -58,13 +78,16 @@
         "_bad_commands",
         "_frontend",
         "_parser",
+        "_queue",
+        "_queued_bytes",
     )
 
     def __init__(self, frontend: Frontend, now: float) -> None:
         self._frontend = frontend
-        self._parser = resp.Parser()
+        self._parser = CommandParser(frontend.memory.add)
+        self._queue: deque[QueuedCommand] = deque()
+        self._queued_bytes = 0
         self.awaiting_since: float | None = now
-        self.has_more = False
         self.arrived_since = now
         self.had_first_command = False
         self.first_command_until = 0.0
@@ -73,15 +96,23 @@
 
     def room(self) -> int:
         """Returns how many bytes may be read now."""
-        return self._parser.ring.room()
+        return max(self._parser.room() - self._queued_bytes, 0)
 
     def held_bytes(self) -> int:
-        """Returns how many bytes were read that do not form a complete command yet."""
-        return self._parser.pending_bytes()
+        """Returns how many bytes were read that belong to no executed command yet."""
+        return self._parser.pending_bytes() + self._queued_bytes
+
+    def has_queued(self) -> bool:
+        """Whether a command that was read waits to be executed."""
+        return bool(self._queue)
+
+    def has_partial_command(self) -> bool:
+        """Whether a part of a next command has arrived."""
+        return not self._parser.is_between_commands()
 
     def is_between_commands(self) -> bool:
-        """Whether no part of a next command has arrived."""
-        return self._parser.idle()
+        """Whether all commands were executed, and no part of a next one has arrived."""
+        return not self._queue and self._parser.is_between_commands()
 
     def restart_timeout(self, now: float) -> None:
         """Restarts the time for the rest of a command: so far the session has not read it."""
@@ -89,58 +120,83 @@
             self.awaiting_since = now
 
     def feed(self, session: Session, data: bytes) -> None:
-        """Takes received bytes, or none to continue with buffered ones, and executes commands."""
-        try:
-            if data:
+        """Takes received bytes, or none to continue with queued commands; executes commands."""
+        if data:
+            try:
                 self._parser.feed(data)
-            self._read_commands(session)
-        except ProtocolError as error:
-            self.reject_stream(session, str(error))
+                self._queue_commands()
+            except ProtocolError as error:
+                session.reject(str(error))
+                return
+        self._execute_queued(session)
 
-    def reject_stream(self, session: Session, why: str) -> None:
-        """Sends one error after the outstanding answers, and stops reading."""
-        self._frontend.stats.malformed += 1
+    def stop(self) -> int:
+        """Stops reading; returns how many commands were read and not executed."""
         self.stopped = True
-        slot = AnswerSlot(session)
-        session.slots.append(slot)
-        slot.send_error(f"protocol error: {why}")
+        count = len(self._queue)
+        self._drop_input()
+        return count
 
     def discard(self) -> None:
         """Drops the bytes read so far, after the connection has ended."""
         self._frontend.stats.unexecuted_bytes += self.held_bytes()
-        self._parser = resp.Parser()
-
-    def _read_commands(self, session: Session) -> None:
-        limit = session.unserved_command_limit
+        self._drop_input()
+
+    def _drop_input(self) -> None:
+        self._parser.clear()
+        self._queue.clear()
+        self._frontend.memory.add(-self._queued_bytes)
+        self._queued_bytes = 0
+
+    def _queue_commands(self) -> None:
+        """Parses all bytes received so far; raises ProtocolError."""
+        while (arguments := self._parser.next()) is not None:
+            size = sum(map(len, arguments)) + QUEUED_COMMAND_BYTES
+            self._queue.append(QueuedCommand(arguments, self.arrived_since, size))
+            self._queued_bytes += size
+            self._frontend.memory.add(size)
+            self.awaiting_since, self.had_first_command = None, True
+        if self.has_partial_command() and self.awaiting_since is None:
+            self.awaiting_since = self._frontend.scheduler.clock()
+
+    def _execute_queued(self, session: Session) -> None:
+        """Executes queued commands as far as the session's limits allow, some in each turn."""
         for _ in range(MAX_COMMANDS_PER_TURN):
-            if len(session.slots) >= MAX_PIPELINED or limit.is_exhausted():
-                break
-            value = self._parser.next()
-            if isinstance(value, resp.NeedMoreData):
-                self.has_more = False
-                if self._parser.idle():
-                    self.awaiting_since = None
-                elif self.awaiting_since is None:
-                    self.awaiting_since = self._frontend.scheduler.clock()
+            if not self._queue or self.stopped or not session.may_execute():
                 return
-            arguments = _arguments(value)
+            command = self._queue.popleft()
+            self._queued_bytes -= command.size
+            self._frontend.memory.add(-command.size)
             slot = AnswerSlot(session)
             session.slots.append(slot)
             self._frontend.command_received(session)
-            self.awaiting_since, self.first_command_until, self.had_first_command = None, 0.0, True
-            self._execute(arguments, slot)
+            self.first_command_until = 0.0
+            self._execute(command, slot)
             if self._bad_commands >= MAX_BAD_COMMANDS:
                 # Each bad command has been answered. The client would mistake a further error about
                 # the end of the connection for the answer to its next command.
                 self._frontend.stats.malformed += 1
-                self.stopped = True
-                return
-        self.has_more = True
+                self.stop()
+
+    def queued_deadline(self) -> float | None:
+        """Returns until when the next queued command may wait for memory; None if it need not.
 
-    def _execute(self, arguments: list[bytes], slot: AnswerSlot) -> None:
+        At its deadline it is executed all the same, which answers it and forwards nothing.
+        """
+        arguments, arrived_since, _ = self._queue[0]
+        if arguments[0] not in REQUEST_COMMANDS:
+            return None
+        frontend, now = self._frontend, self._frontend.scheduler.clock()
+        try:
+            request = frontend.request_limits.read(arguments, now - arrived_since)
+        except BadCommandError:
+            return None
+        return now + request.time_left if request.time_left > 0 else None
+
+    def _execute(self, command: QueuedCommand, slot: AnswerSlot) -> None:
+        arguments, arrived_since, _ = command
         verb, frontend = arguments[0], self._frontend
         if verb in REQUEST_COMMANDS:
-            arrived_since = self.arrived_since
             if frontend.is_ready():
                 self._submit(arguments, slot, arrived_since)
             else:
@@ -152,7 +208,7 @@
         slot.session.unserved_command_limit.spend()
         verb = verb.upper()
         if verb == b"PING":
-            frontend.when_ready(lambda: slot.set_answer(b"+PONG\r\n"))
+            frontend.when_ready(slot.send_pong)
         elif verb in (b"CLIENT", b"SELECT"):
             slot.set_answer(b"+OK\r\n")
         elif verb == b"INFO":
@@ -163,8 +219,8 @@
 
     def _submit(self, arguments: list[bytes], slot: AnswerSlot, arrived_since: float) -> None:
         frontend = self._frontend
-        if slot.session.is_closed():
-            return  # the client disconnected while the request waited: no answer is due
+        if slot.session.is_closed() or slot.is_answered():
+            return  # the client left, or sent something unreadable, while the request waited
         waited = frontend.scheduler.clock() - arrived_since
         try:
             parsed = ParsedRequest(arguments, frontend.request_limits.read(arguments, waited))
@@ -174,12 +230,5 @@
             slot.send_error(str(error))
             return
         self._bad_commands = 0
-        slot.size = parsed.size
+        slot.resize(parsed.size + REQUEST_BYTES)
         slot.open_request = frontend.engine_driver.submit(parsed, slot)
-
-
-def _arguments(value: resp.Value) -> list[bytes]:
-    """Returns the arguments of a command; raises ProtocolError if the value is not a command."""
-    if not isinstance(value, list) or not value or not all(map(resp.is_bulk_string, value)):
-        raise ProtocolError("a command must be a non-empty array of strings")
-    return [word for word in value if resp.is_bulk_string(word)]
--- a/hazelhollow/net/frontend.py
+++ b/hazelhollow/net/frontend.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 import errno
+import logging
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from hazelhollow.net import stream
+from hazelhollow.net.client_memory import ClientMemory
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.engine_driver import EngineDriver
+from hazelhollow.net.rate_limited_log import RateLimitedLog
 from hazelhollow.net.requests import RequestLimits
 from hazelhollow.net.scheduler import READABLE, Scheduler
 from hazelhollow.net.session import MAX_UNSENT_BYTES, Session
@@ -29,6 +32,8 @@
 MAX_PASSING_ACCEPT_FAILURES = 5  # in a row, after which a shortage counts as lasting
 MAX_ACCEPT_FAILURES = 64  # of the calls that empty the accept queue before the socket is closed
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True)
 class FrontendLimits:
@@ -39,6 +44,7 @@
         max_sessions: The maximum number of concurrent client connections.
         max_used_sessions: The maximum number of those that have sent a command.
         max_held_bytes: The maximum memory held for all clients together.
+        max_pipelined_bytes: The part of it up to which a client may have more than one request.
         max_forwarding_bytes: The part of it for values that are being forwarded.
     """
 
@@ -46,6 +52,7 @@
     max_sessions: int
     max_used_sessions: int
     max_held_bytes: int
+    max_pipelined_bytes: int
     max_forwarding_bytes: int
 
 
@@ -55,6 +62,8 @@
     Attributes:
         request_limits: What the settings allow in a request; replaced when the settings change.
         sessions: The clients' connections.
+        memory: Counts what is held for all clients together.
+        log: For what clients cause, which may come at any rate.
         forwarding: Bounds the memory of long values on their way to clients.
         address: The address that the socket listens on.
         close_idle_endpoint_connection: Frees a descriptor by closing an idle connection to an
@@ -77,7 +86,10 @@
         self.scheduler, self.stats, self.engine_driver = scheduler, stats, engine_driver
         self.request_limits = request_limits
         self.sessions = SessionTable(limits.max_sessions, limits.max_used_sessions)
-        self._max_held_bytes = limits.max_held_bytes
+        self.memory = ClientMemory(
+            limits.max_held_bytes, limits.max_pipelined_bytes, scheduler.at_end_of_turn
+        )
+        self.log = RateLimitedLog(log, scheduler.clock)
         self.forwarding = ForwardingWindow(limits.max_forwarding_bytes)
         self.close_idle_endpoint_connection: Callable[[], bool] = lambda: False
         self._ready = False
@@ -165,7 +177,8 @@
         return False
 
     def _start_session(self, sock: socket.socket) -> Session:
-        session = Session(self, stream.Stream(self.scheduler, sock, MAX_UNSENT_BYTES))
+        connection = stream.Stream(self.scheduler, sock, MAX_UNSENT_BYTES, self.memory.add)
+        session = Session(self, connection)
         self.sessions.add(session)
         self.scheduler.spawn(session.run, name="session")
         return session
@@ -200,23 +213,18 @@
         self._limit_memory()
 
     def _limit_memory(self) -> None:
-        """Makes the largest sessions save memory if all of them together hold too much.
+        """Ends the largest sessions that hold a part of a command, if no room is left for others.
 
-        Each session is within its own bounds, but their sum may exceed the total. No request that
-        was read loses its answer for that: a session with outstanding answers reads no more
-        commands, and only one that holds nothing but a part of a command is ended, with an error.
+        No request that was read loses its answer for that: a part of a command is none yet.
         """
+        if self.memory.has_room(is_pipelined=False):
+            return
         held = {session: session.held_bytes() for session in self.sessions.sessions}
-        total = sum(held.values())
-        fair_share = self._max_held_bytes // max(1, len(held))
-        is_short = total > self._max_held_bytes
         for session in sorted(held, key=held.__getitem__, reverse=True):
-            is_large = is_short and held[session] > fair_share
-            if is_large and total > self._max_held_bytes and session.reject_partial_command():
-                total -= held[session]
+            if self.memory.has_room(is_pipelined=False):
+                break
+            if session.reject_partial_command():
                 self.stats.relieved += 1
-                continue
-            session.set_saving_memory(is_large)
 
     # Shutdown
 
--- a/hazelhollow/net/rate_limited_log.py
+++ b/hazelhollow/net/rate_limited_log.py
@@ -25,6 +25,10 @@
         """Calls `log` at level WARNING."""
         return self.log(logging.WARNING, text, *args)
 
+    def info(self, text: str, *args: object) -> bool:
+        """Calls `log` at level INFO."""
+        return self.log(logging.INFO, text, *args)
+
     def log(self, level: int, text: str, *args: object) -> bool:
         """Writes the line if the rate allows it; returns whether it did."""
         now = self._clock()
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -53,7 +53,8 @@
 # idle ones are closed, so that descriptors remain for new clients.
 USED_SESSIONS_SHARE = 0.25
 MIN_USED_SESSIONS = 4
-CLIENT_MEMORY_SHARE = 0.25  # of the memory limit, for all clients' connections together
+CLIENT_MEMORY_SHARE = 0.4  # of the memory limit, for all clients' connections together
+PIPELINED_MEMORY_SHARE = 0.2  # of the memory limit, up to which clients have several requests
 FORWARDING_MEMORY_SHARE = 0.125  # of the memory limit, for long values on their way to clients
 
 log = logging.getLogger(__name__)
@@ -148,6 +149,7 @@
             max_sessions=_share(descriptors, CLIENTS_DESCRIPTOR_SHARE),
             max_used_sessions=max(MIN_USED_SESSIONS, int(config.sockets * USED_SESSIONS_SHARE)),
             max_held_bytes=int(config.memory_mb * 2**20 * CLIENT_MEMORY_SHARE),
+            max_pipelined_bytes=int(config.memory_mb * 2**20 * PIPELINED_MEMORY_SHARE),
             max_forwarding_bytes=int(config.memory_mb * 2**20 * FORWARDING_MEMORY_SHARE),
         )
         request_limits = RequestLimits(config.settings)
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -2,9 +2,9 @@
 
 | state | fields | reads commands | left by |
 | --- | --- | --- | --- |
-| OPEN | | yes | `finish`: FINISHING. Malformed bytes: REJECTED. Client closes: CLOSED |
+| OPEN | | yes | `finish`: FINISHING. Unreadable bytes: REJECTED. Client closes: CLOSED |
 | FINISHING | `finishing` | those that arrived in time | none is left: LINGERING |
-| REJECTED | `reader.stopped` | no | the error after the last answer was sent: LINGERING |
+| REJECTED | `reader.stopped` | no | the errors for all that was owed were sent: LINGERING |
 | LINGERING | `_linger_reason` | no: dropped | the client closes, 1 s or 1 MiB pass: CLOSED |
 | CLOSED | the stream's close reason | no | |
 
@@ -24,6 +24,7 @@
 
 from hazelhollow.net import resp, stream
 from hazelhollow.net.answer_slot import AnswerSlot
+from hazelhollow.net.client_memory import ClientMemory
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.command_reader import MAX_PIPELINED, CommandReader
 from hazelhollow.net.scheduler import PEER_CLOSED, READABLE, SOCKET_ERROR, TIMED_OUT, WOKEN
@@ -32,10 +33,10 @@
 from hazelhollow.net.value_forwarding import MAX_WINDOW_BYTES
 
 if TYPE_CHECKING:
+    from hazelhollow.net.engine_driver import EngineDriver
     from hazelhollow.net.frontend import Frontend
 
 MAX_UNSENT_BYTES = 4 * resp.MAX_STRING_BYTES  # answers that the client has not read
-MAX_SAVED_ANSWER_BYTES = 1024  # kept behind unread answers while memory is short
 STALL_TIMEOUT_S = 10.0  # without a byte read by the client, while answers are pending
 COMMAND_TIMEOUT_S = 2.0  # for the rest of a command, and for the first one of a connection
 IDLE_TIMEOUT_S = 10.0
@@ -58,6 +59,8 @@
     Attributes:
         reader: Reads the commands.
         slots: The commands whose answers have not been written yet, in their order.
+        memory: Counts what is held for all clients together.
+        engine_driver: Owns the open requests.
         unserved_command_limit: Throttles the connection if too many of its commands are not served.
         idle_since: When the last answer was written.
         finishing: Whether the session is to be closed as soon as it is between requests.
@@ -67,6 +70,8 @@
     def __init__(self, frontend: Frontend, connection: stream.Stream) -> None:
         now = frontend.scheduler.clock()
         self._frontend, self._stream = frontend, connection
+        self.memory: ClientMemory = frontend.memory
+        self.engine_driver: EngineDriver = frontend.engine_driver
         self.reader = CommandReader(frontend, now)
         self.slots: deque[AnswerSlot] = deque()
         self.unserved_command_limit: UnservedCommandLimit = UnservedCommandLimit(
@@ -80,7 +85,7 @@
         self._linger_reason: CloseReason | None = None  # why the sending side was closed
         self._break_reason: CloseReason | None = None  # why the task has to end the session
         self._forwarded_values = 0  # of this session, that have begun and not ended
-        self._is_saving_memory = False
+        self._waits_for_memory = False
 
     def run(self) -> None:
         """Serves the session from its first byte to its end; the body of its task."""
@@ -117,17 +122,49 @@
             self._stream.wake()
         else:
             self._stream.close(reason)
+        self.memory.stop_waiting(self._stream.wake)
+        self.reader.discard()
         for slot in slots:
             opened, slot.open_request = slot.open_request, None
+            slot.resize(0)
             if opened:
-                frontend.engine_driver.client_disconnected(opened)
+                self.engine_driver.client_disconnected(opened)
+
+    def reject(self, why: str) -> None:
+        """Ends a session whose client has sent something unreadable, or half a command.
+
+        Everything that the client is still owed becomes an error, whose attempts are given up: a
+        request is not served if what stands behind it on its connection cannot be read. One more
+        error says why; then the connection is closed.
+        """
+        if self.reader.stopped:
+            return
+        self._frontend.stats.malformed += 1
+        unexecuted = self.reader.stop()
+        self._frontend.log.info(
+            "closing a session: %s; it is owed %d answers and had %d commands in the queue: %s",
+            why,
+            len(self.slots),
+            unexecuted,
+            " ".join(slot.open_request.id for slot in self.slots if slot.open_request),
+        )
+        for slot in list(self.slots):
+            slot.give_up()
+        for _ in range(unexecuted):
+            self._append_error("failed")
+        self._append_error(f"protocol error: {why}")
+        self._stream.wake()
+
+    def _append_error(self, why: str) -> None:
+        slot = AnswerSlot(self)
+        self.slots.append(slot)
+        slot.send_error(why)
 
     def _linger(self) -> None:
         """Waits for the client to close.
 
         Commands that arrive now are dropped; the client has to send them again elsewhere.
         """
-        self.reader.discard()
         self._stream.discard_until_closed(LINGER_S, MAX_LINGER_BYTES)
         self.stop_lingering()
 
@@ -162,38 +199,38 @@
             if now - self._send_progress[1] >= STALL_TIMEOUT_S:
                 return CloseReason.STALLED
         if self.reader.stopped:
-            return None  # each outstanding answer has a deadline of its own
+            return None  # nothing is owed but errors, which are written already
         if not self._input.is_reading:
             self.reader.restart_timeout(now)
         awaiting_since = self.reader.awaiting_since
         if awaiting_since is not None and now - awaiting_since >= COMMAND_TIMEOUT_S:
             if self.is_between_requests():
                 return CloseReason.IDLE
-            self.reader.reject_stream(self, "incomplete command: the rest did not arrive in time")
-            self._stream.wake()
+            self.reject("incomplete command: the rest did not arrive in time")
         elif now - self.idle_since >= IDLE_TIMEOUT_S and self.is_between_requests():
             return CloseReason.IDLE
         return None
 
     # Memory
 
-    def set_saving_memory(self, is_saving: bool) -> None:
-        """Sets whether no further commands are read and long answers are not kept."""
-        if self._is_saving_memory and not is_saving:
-            self._stream.wake()
-        self._is_saving_memory = is_saving
+    def may_execute(self) -> bool:
+        """Whether the next command may be executed: there is room for it and its answer."""
+        return (
+            len(self.slots) < MAX_PIPELINED
+            and not self.unserved_command_limit.is_exhausted()
+            and (self._has_memory() or self.reader.queued_deadline() is None)
+        )
 
-    def may_keep(self, size: int) -> bool:
-        """Whether an answer of that size may wait until the client has read those before it."""
-        return not self._is_saving_memory or size <= MAX_SAVED_ANSWER_BYTES
+    def _has_memory(self) -> bool:
+        return self.memory.has_room(is_pipelined=not self._has_sent_all_answers())
 
     def reject_partial_command(self) -> bool:
         """Ends a session that holds only a part of a command; returns whether it does."""
-        if self.slots or self.reader.stopped or self.reader.is_between_commands():
+        if self.slots or self.reader.stopped or self.reader.has_queued():
             return False
-        self.reader.reject_stream(self, "too many clients hold parts of commands")
-        self.reader.discard()
-        self._stream.wake()
+        if not self.reader.has_partial_command():
+            return False
+        self.reject("too many clients hold parts of commands")
         return True
 
     # State queries
@@ -248,17 +285,19 @@
             if not self._stream.has_room(len(answer)):
                 break
             self._stream.write(answer)
+            slots[0].has_begun = True
             if rest:  # INFO of a limiter with thousands of classes
                 slots[0].answer = rest
+                slots[0].resize(len(rest))
             else:
-                slots.popleft()
+                slots.popleft().resize(0)
         if slots and slots[0].on_room and self._stream.room_below(self._window()) > 0:
             slots[0].on_room()
         if not slots:
             self.idle_since = self._frontend.scheduler.clock()
             self._frontend.sessions.set_idle(self, self.idle_since)
         has_free_slot = was_full and len(slots) < MAX_PIPELINED
-        if self.finishing or self.reader.stopped or has_free_slot or self._is_saving_memory:
+        if self.finishing or self.reader.stopped or has_free_slot or self._waits_for_memory:
             self._stream.wake()
 
     # Long values, which are written while they arrive
@@ -318,7 +357,7 @@
                 self._input.read_final_input(self)
             elif bits != WOKEN and bits & (PEER_CLOSED | SOCKET_ERROR):
                 return CloseReason.CLOSED if bits & PEER_CLOSED else CloseReason.RESET
-            elif bits != WOKEN and bits & READABLE:
+            elif bits != WOKEN and bits & READABLE and self._has_room_to_go_on():
                 result = self._input.read(self)
                 if isinstance(result, CloseReason):
                     return result
@@ -343,17 +382,38 @@
         return None
 
     def _next_wait(self) -> tuple[float | None, int]:
-        """Returns when to continue with bytes already read, and the poll events to wait for."""
+        """Returns when to continue with commands already read, and the poll events to wait for."""
         if (
             self.reader.stopped
             or self._break_reason
             or len(self.slots) >= MAX_PIPELINED
-            or (self._is_saving_memory and self.slots)
             or not self._stream.has_room(MAX_UNSENT_BYTES // 2)
         ):
             return None, 0
         if self.unserved_command_limit.is_exhausted():
             return self.unserved_command_limit.available_at(), 0
-        if self.reader.has_more or self._input.has_final_input():
-            return self._frontend.scheduler.clock(), 0  # next turn, after other connections
+        now = self._frontend.scheduler.clock()
+        self._waits_for_memory = False
+        if not self._has_room_to_go_on():
+            return self._wait_for_memory(now), 0
+        if self.reader.has_queued() or self._input.has_final_input():
+            return now, 0  # next turn, after other connections
         return None, READABLE if self._input.is_accepting() and self._accepts_commands() else 0
+
+    def _has_room_to_go_on(self) -> bool:
+        """Whether a command may be read or executed; a part of one keeps what it holds."""
+        if self.reader.has_partial_command() and not self.reader.has_queued():
+            return True
+        if not self._has_memory():
+            self._stream.flush()  # what has been sent is not held any more
+        return self._has_memory()
+
+    def _wait_for_memory(self, now: float) -> float | None:
+        """Asks to be woken when there is room; returns when to continue without it.
+
+        Also wakes when answers have been sent: without any, more of the memory is available.
+        """
+        self._waits_for_memory = True
+        self._stream.has_room(MAX_UNSENT_BYTES)
+        self.memory.wait_for_room(self._stream.wake, not self._has_sent_all_answers())
+        return (self.reader.queued_deadline() or now) if self.reader.has_queued() else None
--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -133,7 +133,7 @@
 
     def has_executed_all(self) -> bool:
         """Whether no command is left to execute; the rest of an incomplete one is not read."""
-        return self._final_bytes == 0 and not self._reader.has_more
+        return self._final_bytes == 0 and not self._reader.has_queued()
 
     def stop_accepting(self, session: Session) -> None:
         """Begins to read the commands that are still executed.
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -120,14 +120,27 @@
         "_task",
     )
 
-    def __init__(self, scheduler: Scheduler, sock: socket.socket, max_unsent: int) -> None:
-        """`max_unsent`: the maximum number of bytes in the send buffer."""
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        sock: socket.socket,
+        max_unsent: int,
+        on_resize: Callable[[int], object] | None = None,
+    ) -> None:
+        """Takes over a socket.
+
+        Args:
+            scheduler: The scheduler that runs the tasks which use the stream.
+            sock: The socket, connected or not.
+            max_unsent: The maximum number of bytes in the send buffer.
+            on_resize: Told by how many bytes the send buffer's memory grows or shrinks.
+        """
         sock.setblocking(False)
         with suppress(OSError):  # a connection that has broken meanwhile: reading tells
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SYSTEM_SEND_BUFFER_BYTES)
         self.scheduler, self._sock, self._fd = scheduler, sock, sock.fileno()
-        self.send_buffer = RingBuffer(max_unsent)
+        self.send_buffer = RingBuffer(max_unsent, on_resize)
         self.bytes_sent = 0
         self.close_reason: CloseReason | None = None
         self.on_send_failure: Callable[[CloseReason], None] | None = None
