--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -43,6 +43,7 @@
 # starts. No attempt may start more than 0.1 s after its client has disconnected, even if the
 # process was busy for longer than that.
 STALE_POLL_S = 0.03
+LATE_ANSWER_S = 0.5  # after its time a final answer only earns nothing for this long
 
 log = logging.getLogger(__name__)
 
@@ -205,7 +206,7 @@
         if opened.forwarding is attempt:
             self._end_forwarding(opened, result.status)
         elif result.status == "ok" and result.value is not None and not opened.answered:
-            opened.answered = True
+            self._set_answered(opened)
             self._count_served(opened, elapsed)
             opened.responder.send_value(result.value)
         event = api.AttemptEnded(
@@ -235,7 +236,8 @@
         if opened.answered:
             return False
         attempt = opened.attempts[number]
-        opened.answered, opened.forwarding = True, attempt
+        self._set_answered(opened)
+        opened.forwarding = attempt
         if opened.deadline_timer:
             opened.deadline_timer.cancel()
         self._stats.forwarded += 1
@@ -456,15 +458,33 @@
         opened = self.open_requests.get(request_id)
         if opened is None or opened.answered:
             return None
-        opened.answered = True
+        self._set_answered(opened)
         return opened
 
+    def _set_answered(self, opened: OpenRequest) -> None:
+        """Notes that the final answer is given, or begun; reports one that is late."""
+        opened.answered = True
+        late = self._scheduler.clock() - opened.deadline
+        if late <= LATE_ANSWER_S:
+            return
+        self._stats.late_answers += 1
+        attempts = [
+            f"{attempt.endpoint} ({'ended' if attempt.on_result is None else 'in flight'})"
+            for attempt in opened.attempts
+        ]
+        self._log.warning(
+            "request %s: its final answer is %.3f s after its time; attempts: %s",
+            opened.id,
+            late,
+            ", ".join(attempts) or "none",
+        )
+
     def _fail_unanswered(self, opened: OpenRequest, why: str) -> None:
         """Sends an error for a request that the engine left unanswered."""
         log.error("request %s: %s", opened.id, why)
         self._stats.rescued += 1
         self._stats.reply(opened.parsed.request.class_name, "error")
-        opened.answered = True
+        self._set_answered(opened)
         opened.responder.send_failure()
         self._handle(api.ClientDisconnected(opened.id), opened)
 
