Let a client's backlog last until nothing has arrived for 30 ms

Cause: SessionInput took a read that emptied the socket for the end of the backlog. Waits of over 0.5 s were capped. Change: a backlog ends once nothing can have arrived for 30 ms, and up to 1 s of it is deducted. The new test fails without the change.

--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -28,7 +28,10 @@
 READ_CHUNK_BYTES = 16 * 1024
 MIN_ACCEPT_WAIT_S = 0.02  # below it the figure is as coarse as the operating system's clock
 MAX_ACCEPT_WAIT_S = 60.0  # beyond it the operating system's figure is not believed
-MAX_BACKLOG_S = 0.5  # assumed for a client that never stops sending
+MAX_BACKLOG_S = 1.0  # assumed for a client that never stops sending
+# A backlog has ended once nothing arrived for this long: until then the operating system may still
+# hold bytes that the client has written, although the socket was found empty.
+BACKLOG_GAP_S = 0.03
 MAX_FINAL_BYTES = 1 << 20  # of one connection
 
 
@@ -44,6 +47,7 @@
     __slots__ = (
         "is_reading",
         "_backlog_since",
+        "_emptied_at",
         "_stream",
         "_reader",
         "_unread_since",
@@ -54,8 +58,9 @@
     def __init__(self, stream: Stream, reader: CommandReader) -> None:
         self._stream, self._reader = stream, reader
         self.is_reading = True
-        # Since when the socket may always have had more input than was read; None if not.
+        # Since when the client may always have written more than was read; None if not.
         self._backlog_since: float | None = None
+        self._emptied_at: float | None = None  # when the last read emptied the socket, if it did
         # When the session stopped reading; None once the socket was found empty again.
         self._unread_since: float | None = None
         self._resumed_at = math.inf  # when it last began to read again; infinite while paused
@@ -95,10 +100,12 @@
         A client that sends many large commands at once writes the last one long before this
         process, or the operating system for it, can take it. `has_more`: whether input may be left.
         """
-        since, now = self._backlog_since, self._stream.scheduler.clock()
-        if not has_more:
+        now = self._stream.scheduler.clock()
+        if self._emptied_at is not None and arrived_since - self._emptied_at >= BACKLOG_GAP_S:
             self._backlog_since = None
-        elif since is None:
+        self._emptied_at = None if has_more else now
+        since = self._backlog_since
+        if since is None and has_more:
             self._backlog_since = arrived_since
         return now if since is None else max(since, now - MAX_BACKLOG_S)
 
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -13,7 +13,7 @@
 from hazelhollow.net.session import MAX_UNSENT_BYTES
 from hazelhollow.net.session_table import MAX_LINGERING
 from tests.net.scenario import Stage
-from tests.net.test_scenarios import VALUE, ask
+from tests.net.test_scenarios import DO, VALUE, ask
 
 
 def test_pipelined_flood_stays_within_its_limit_and_others_are_answered() -> None:
@@ -153,3 +153,30 @@
     stage.play("wait 4.0")
     assert len(told) == 1200
     assert all(time_left <= 2.5 - (now - sent_at) + 0.15 for now, time_left in told[before:])
+
+
+def test_backlog_lasts_although_the_socket_was_empty_for_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against endpoints that are told more time than the client has left.
+
+    A client has written much at once. The operating system passes it on in parts, between which
+    the socket is empty for some milliseconds; a longer gap ends the backlog.
+    """
+    stage = Stage(hosts=1)
+    told = observe_requests(stage, monkeypatch)
+    written_at = stage.now
+    stage._end("a").sendall(stage.bytes_of(DO.format(0).replace("BODY", "B" * 40_000)))
+    stage.settle()
+    for number in range(5):
+        stage.now += 0.02
+        stage.settle(1)
+        stage._end("a").sendall(stage.bytes_of(ask(10 + number, 2500)))
+        stage.settle()
+    assert len(told) == 6
+    assert all(time_left <= 2.5 - (now - written_at) + 1e-6 for now, time_left in told[1:])
+    stage.now += 0.2
+    stage.settle(1)
+    stage._end("a").sendall(stage.bytes_of(ask(20, 2500)))
+    stage.settle()
+    assert told[-1][1] > 2.5 - 0.05
