Let only new bytes end an endpoint's silence, not each wake-up of its connection

Callers beside a shutdown waited for a value that had stopped until SIGKILL. Cause: ConnectionPool._process_received set partial_answer_at whenever it ran, and GracefulShutdown wakes every session each 20 ms, which wakes the connections of values in transit: the silence began anew each time. Change: the time is set by new bytes, or when the sink has room again.

--- a/hazelhollow/net/connection_pool.py
+++ b/hazelhollow/net/connection_pool.py
@@ -271,6 +271,7 @@
         sock = connection.stream
         sock.on_send_failure = lambda reason: self.close_connection(connection, reason)
         while sock.close_reason is None:
+            data: bytes | CloseReason | None = None
             room = self._room(connection)
             if room <= 0:
                 sock.wait_unwatched()
@@ -282,7 +283,7 @@
             if connection.attempt is None:
                 continue
             try:
-                self._process_received(connection)
+                self._process_received(connection, has_new_bytes=bool(data))
             except (ProtocolError, EndpointError) as error:
                 log.info(
                     "endpoint %s: closing a connection after a malformed answer: %s",
@@ -307,9 +308,12 @@
             connection.partial_answer_at = self._scheduler.clock()
         return room
 
-    def _process_received(self, connection: PooledConnection) -> None:
+    def _process_received(self, connection: PooledConnection, has_new_bytes: bool) -> None:
         """Handles the events of the bytes received so far, as far as the sink has room.
 
+        `has_new_bytes`: whether bytes have just arrived. Only these end a silence: a shutdown, or a
+        client that reads, wakes the connection again and again.
+
         Raises:
             ProtocolError: The bytes are no answer.
             EndpointError: The answer cannot belong to the attempt.
@@ -322,7 +326,10 @@
             if event is None:
                 if connection.attempt and not connection.parser.is_idle():
                     is_blocked = connection.is_forwarding and connection.parser.has_value_data()
-                    connection.partial_answer_at = 0.0 if is_blocked else self._scheduler.clock()
+                    if is_blocked:
+                        connection.partial_answer_at = 0.0
+                    elif has_new_bytes or not connection.partial_answer_at:
+                        connection.partial_answer_at = self._scheduler.clock()
                 return
             self._handle_event(connection, connection.attempt, event)
 
--- a/tests/net/test_request_states.py
+++ b/tests/net/test_request_states.py
@@ -177,6 +177,17 @@
     assert nothing_is_open(stage)
 
 
+@state("long value that stops beside a shutdown")
+def long_value_that_stops_beside_a_shutdown() -> None:
+    """Guards against a silence that each wake-up of the shutdown ends."""
+    stage = Stage(hosts=1)
+    begin_long_value(stage, 1)
+    read_all(stage._end("a"), stage)
+    stage.service.shutdown.begin()
+    stage.play(f"wait {FORWARDING_STALL_S - 0.1}\na expect nothing\nwait 0.4\na expect closed")
+    assert nothing_is_open(stage)
+
+
 @state("long value in drops")
 def long_value_in_drops() -> None:
     stage = Stage(hosts=1)
