soak: heads, drips, stops, bytes behind, others' ids and clients that read nothing

Change: six kinds, drawn apart so that the earlier kinds of each seed stay the same; rules for values that have begun (not cut off while the server gives more, told within 3.6 s of silence, begun in time), for ids of open requests, for unreadable bytes, and for memory (128 MB); six faults planted in the product (tests/soak/planted_serve.py), each found by a run of its kinds that holds without it. What endpoints write moves to soak/answers.py.

--- a/hazelhollow/soak/checker.py
+++ b/hazelhollow/soak/checker.py
@@ -9,6 +9,9 @@
 | refusal | `-BUSY` only if nothing may have run, where a repetition is not harmless |
 | gone | no attempt begins more than 0.1 s after its client has closed |
 | unsound | a request that is not allowed gets an error or a close within 3 s, and never runs |
+| begun | a long value that has begun goes on while its server gives more; if it stops, the client |
+|  | is told by a close before it leaves, 3.6 s later |
+| memory | a process stays within its limit |
 | told time | a server is told at most what is left to the client, with 0.15 s of slack; the pages |
 |  | allow for a process that is held up between reading its clock and writing |
 | drain | nothing new to a draining server after the grace |
@@ -22,6 +25,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from hazelhollow.soak.plan import LIMITER_MEMORY_MB
 from hazelhollow.soak.record import (
     KEYED,
     SAFE,
@@ -43,7 +47,10 @@
 KILL_AFTER_S = 3.7
 SIGKILL_STATUS = -9
 WINDOW_S = 5.0 + 0.05
-TIMED_RULES = ("late", "gone", "told time", "drain", "unsound")
+PATIENCE_S = 3.6  # for which a client waits for a further byte of a value that has begun
+MAX_MEMORY_KB = LIMITER_MEMORY_MB * 1024
+TIMED_RULES = ("late", "begun", "gone", "told time", "drain", "unsound")
+KILL_SLACK_S = 0.3  # between the end of a process and when its clients note it
 MAX_OWN_LATENESS_S = 0.05  # beyond it the run's own figures are not exact enough to judge
 
 
@@ -61,10 +68,15 @@
         runs[execution.id].append(execution)
     by_id = defaultdict[str, list[RequestRecord]](list)
     for request in record.requests:
-        by_id[request.id].append(request)
+        if request.is_sound:
+            by_id[request.id].append(request)
     found: list[Violation] = []
     for request in record.requests:
-        found += _check_request(request, runs[request.id])
+        if not request.is_sound:
+            found += _check_unsound(request, runs[request.id], by_id.get(request.id, []))
+        else:
+            found += _check_request(request, runs[request.id])
+            found += _check_begun(request, record)
     for request_id, requests in by_id.items():
         found += _check_executions(requests, runs[request_id])
         found += _check_told_time(requests, runs[request_id], record.pauses)
@@ -93,9 +105,7 @@
 
 
 def _check_request(request: RequestRecord, runs: list[ExecutionRecord]) -> Iterator[Violation]:
-    if not request.is_sound:
-        yield from _check_unsound(request, runs)
-    elif request.outcome == "value":
+    if request.outcome == "value":
         yield from _check_value(request)
     elif request.outcome == "silent":
         yield Violation("answered", f"never: {request}")
@@ -107,12 +117,31 @@
         yield from _check_refusal(request, runs)
 
 
-def _check_unsound(request: RequestRecord, runs: list[ExecutionRecord]) -> Iterator[Violation]:
+def _check_unsound(
+    request: RequestRecord, runs: list[ExecutionRecord], same_id: list[RequestRecord]
+) -> Iterator[Violation]:
+    """`same_id`: the sound requests whose id it has; once they have ended, the id is free."""
+    if same_id and not any(
+        other.sent_at < request.sent_at and request.ended_at < other.ended_at for other in same_id
+    ):
+        return
     in_time = request.ended_at - request.sent_at <= UNSOUND_ANSWER_S
-    if runs or request.outcome not in ("error", "closed") or not in_time:
+    has_run = runs and not request.may_run
+    if has_run or request.outcome not in ("error", "closed") or not in_time:
         yield Violation("unsound", f"{request}, ran {len(runs)} times")
 
 
+def _check_begun(request: RequestRecord, record: SoakRecord) -> Iterator[Violation]:
+    if request.outcome != "partial":
+        return
+    yield from _check_time(request, request.first_byte_at)
+    was_killed = any(abs(end.at - request.ended_at) < KILL_SLACK_S for end in record.exits)
+    if request.id not in record.broken_ids and not was_killed:
+        yield Violation("begun", f"cut off although its server gave more: {request}")
+    if request.ended_at - request.last_byte_at > PATIENCE_S:
+        yield Violation("begun", f"its client was told after it had left: {request}")
+
+
 def _check_value(request: RequestRecord) -> Iterator[Violation]:
     if request.value != digest(value_for(request.id, request.value_size)):
         yield Violation("value", f"{request}")
@@ -169,6 +198,8 @@
 
 
 def _check_processes(record: SoakRecord) -> Iterator[Violation]:
+    if record.peak_memory_kb > MAX_MEMORY_KB:
+        yield Violation("memory", f"{record.peak_memory_kb} KB of {MAX_MEMORY_KB}")
     for crash in record.crashes:
         yield Violation("exit", f"crashed: {crash}")
     for end in record.exits:
--- a/hazelhollow/soak/clients.py
+++ b/hazelhollow/soak/clients.py
@@ -6,6 +6,7 @@
 from collections import deque
 
 from hazelhollow.net.scheduler import Scheduler
+from hazelhollow.soak.hostile_clients import send_under_open_id, send_with_bytes_behind
 from hazelhollow.soak.plan import SoakPlan
 from hazelhollow.soak.raw_client import RawClient
 from hazelhollow.soak.record import (
@@ -29,6 +30,11 @@
 LONG_SHARE, LEAVE_SHARE, UNSOUND_SHARE = 0.1, 0.15, 0.15
 ANSWER_TIMEOUT_S = 12.0  # beyond every deadline, stall and shutdown
 PAUSE_S = 0.12  # mean time between a client's requests
+HOSTILE = (
+    ("client: bytes behind", send_with_bytes_behind),
+    ("client: other id", send_under_open_id),
+)
+LONG_KINDS = ("server: long", "server: heads", "server: drips", "server: stops")
 OUTCOMES = {Kind.VALUE: "value", Kind.BUSY: "busy", Kind.ERROR: "error", Kind.STATUS: "error"}
 
 
@@ -62,6 +68,8 @@
         if self._plan.has("client: unsound") and self._draw.random() < UNSOUND_SHARE:
             self._send_unsound(client)
             return
+        if self._sends_hostile():
+            return
         count = 1
         if self._plan.has("client: pipeline"):
             count = self._draw.choice((1, 1, 2, 8, 64))
@@ -73,6 +81,15 @@
             return
         self._await_answers(client, [request for request, _ in batch])
 
+    def _sends_hostile(self) -> bool:
+        """Plays one of the hostile kinds now and then; returns whether it did."""
+        for kind, send in HOSTILE:
+            if self._plan.has(kind) and self._draw.random() < UNSOUND_SHARE:
+                name = self._draw.choice(self._rig.names)
+                send(self._rig, self._record, self._draw, name, self._draw_request)
+                return True
+        return False
+
     def _connect(self, name: str = "") -> None:
         """Connects to a limiter, by default to a drawn one."""
         if self._client:
@@ -91,7 +108,7 @@
         class_name = draw.choice(CLASS_NAMES)
         wait_ms = min(draw.choice(WAITS_MS), 2000 if class_name == SAFE else 3000)
         size = draw.choice(SHORT_SIZES)
-        if self._plan.has("server: long") and draw.random() < LONG_SHARE:
+        if any(map(self._plan.has, LONG_KINDS)) and draw.random() < LONG_SHARE:
             size = draw.choice(LONG_SIZES)
         request_id = f"{draw.getrandbits(48):012x}{size:x}"
         request = RequestRecord(request_id, class_name, wait_ms / 1000, value_size=size)
@@ -145,7 +162,9 @@
         self, client: RawClient, request: RequestRecord, behind: list[RequestRecord]
     ) -> None:
         """Records a connection that ended, or said nothing, before an answer was complete."""
-        is_partial = client.partial_bytes() > 0 and request.value_size > TIMED_BY_FIRST_BYTE
+        has_part = client.partial_bytes() > 0 and request.value_size > TIMED_BY_FIRST_BYTE
+        is_partial = has_part and client.closed
+        request.first_byte_at, request.last_byte_at = client.partial_since, client.last_byte_at
         request.outcome = "partial" if is_partial else "closed" if client.closed else "silent"
         for later in behind:
             later.ended_at = request.ended_at
--- a/hazelhollow/soak/plan.py
+++ b/hazelhollow/soak/plan.py
@@ -13,8 +13,12 @@
 
 CLIENT_KINDS = ("pipeline", "pieces", "leave", "slow reader", "large body", "resend", "unsound")
 SERVER_KINDS = ("long", "pieces", "reset", "hang", "error", "busy", "unsound", "drain")
+# Drawn apart from the others, whose plans stay the same for each seed.
+LATER_CLIENT_KINDS = ("bytes behind", "other id", "no reader")
+LATER_SERVER_KINDS = ("heads", "drips", "stops")
+ANSWER_KINDS = ("pieces", "reset", "hang", "error", "busy", "unsound", *LATER_SERVER_KINDS)
 OPERATION_KINDS = ("reload", "broken file", "restart", "upgrade", "pause", "crowd", "silence")
-ALL_KINDS = tuple(
+FIRST_KINDS = tuple(
     f"{group}: {kind}"
     for group, kinds in (
         ("client", CLIENT_KINDS),
@@ -23,8 +27,16 @@
     )
     for kind in kinds
 )
+LATER_KINDS = tuple(f"client: {kind}" for kind in LATER_CLIENT_KINDS) + tuple(
+    f"server: {kind}" for kind in LATER_SERVER_KINDS
+)
+ALL_KINDS = FIRST_KINDS + LATER_KINDS
+LATER_KIND_SHARE = 0.3  # of the seeds, for each
 BASE_CLIENTS = 6
+CLIENTS_WITHOUT_READER = 200
+LIMITER_MEMORY_MB = 128
 CROWD_CLIENTS = 120
+LATER_SEED_OFFSET = 1 << 32  # apart from the seeds of the clients' draws
 FAULT_SHARE = 0.12  # of the requests, for each kind of faulty answer that is on
 FIRST_OPERATION_S, OPERATION_INTERVAL_S = 1.0, 1.6
 QUIET_END_S = 2.0  # at the end, without a new operation
@@ -70,7 +82,7 @@
     """Draws a plan; the same arguments give the same plan. `kinds`: those to use; empty: drawn."""
     draw = random.Random(seed)
     count = draw.randint(3, 9)
-    chosen = kinds or tuple(sorted(draw.sample(ALL_KINDS, count)))
+    chosen = kinds or (*sorted(draw.sample(FIRST_KINDS, count)), *_draw_later_kinds(seed))
     operations = [kind.partition(": ")[2] for kind in chosen if kind.startswith("operation")]
     timed = [kind for kind in operations if kind != "crowd"]
     events, at = list[Operation](), FIRST_OPERATION_S + draw.random()
@@ -86,3 +98,8 @@
         kinds=chosen,
         operations=tuple(events),
     )
+
+
+def _draw_later_kinds(seed: int) -> tuple[str, ...]:
+    draw = random.Random(seed + LATER_SEED_OFFSET)
+    return tuple(kind for kind in LATER_KINDS if draw.random() < LATER_KIND_SHARE)
--- a/hazelhollow/soak/raw_client.py
+++ b/hazelhollow/soak/raw_client.py
@@ -24,6 +24,8 @@
         first_byte_at: When the first byte of the answer returned last was received (clock).
         completed_at: When that answer was complete (clock).
         received_bytes: How many bytes were received.
+        partial_since: When the first byte of an incomplete answer was received (clock); 0 if none.
+        last_byte_at: When the last byte was received (clock).
     """
 
     def __init__(
@@ -37,9 +39,9 @@
         self._sock.setblocking(False)
         self._reader = AnswerReader()
         self._answers: deque[tuple[Answer, float, float]] = deque()
-        self._partial_since = 0.0  # when the first byte of an incomplete answer was received
+        self.partial_since = 0.0
         self.closed = False
-        self.first_byte_at = self.completed_at = 0.0
+        self.first_byte_at = self.completed_at = self.last_byte_at = 0.0
         self.received_bytes = 0
         self._sock.connect_ex(address)
         self._wait(WRITABLE, scheduler.clock() + CONNECT_TIMEOUT_S)
@@ -86,12 +88,12 @@
         if not data:
             self.closed = True
             return False
-        now = self._scheduler.clock()
+        now = self.last_byte_at = self._scheduler.clock()
         self.received_bytes += len(data)
         for answer in self._reader.feed(data):
-            self._answers.append((answer, self._partial_since or now, now))
-            self._partial_since = 0.0
-        self._partial_since = (self._partial_since or now) if self._reader.received else 0.0
+            self._answers.append((answer, self.partial_since or now, now))
+            self.partial_since = 0.0
+        self.partial_since = (self.partial_since or now) if self._reader.received else 0.0
         return True
 
     def answer(self, timeout: float) -> Answer | None:
--- a/hazelhollow/soak/record.py
+++ b/hazelhollow/soak/record.py
@@ -28,6 +28,8 @@
         waits_behind: How many answers of its connection were due before its own.
         on_new_connection: Whether it was the first request of its connection.
         resent: Whether it was sent again under the same id.
+        may_run: Of one that is not sound: whether endpoints may run its id all the same.
+        last_byte_at: When the last byte of an answer that stayed incomplete was there.
     """
 
     id: str
@@ -44,6 +46,12 @@
     waits_behind: int = 0
     on_new_connection: bool = True
     resent: bool = False
+    may_run: bool = False
+    last_byte_at: float = 0.0
+
+    def set_value(self, value: bytes) -> None:
+        """Notes the value of its answer."""
+        self.value = digest(value)
 
 
 @dataclass(frozen=True)
@@ -86,7 +94,13 @@
 
 @dataclass
 class SoakRecord:
-    """Everything that the checker judges."""
+    """Everything that the checker judges.
+
+    Attributes:
+        held_ids: Requests that endpoints hold for a while, since their clients ask for it.
+        broken_ids: Requests of which an endpoint has left an answer incomplete or late.
+        peak_memory_kb: The most that a limiter's process has held.
+    """
 
     requests: list[RequestRecord] = field(default_factory=list)
     executions: list[ExecutionRecord] = field(default_factory=list)
@@ -97,6 +111,8 @@
     max_lateness: float = 0.0  # by which the run's own process was late
     served_at_end: bool = False
     peak_memory_kb: int = 0
+    held_ids: set[str] = field(default_factory=set)
+    broken_ids: set[str] = field(default_factory=set)
 
 
 def value_for(request_id: str, size: int) -> bytes:
--- a/hazelhollow/soak/rig.py
+++ b/hazelhollow/soak/rig.py
@@ -324,6 +324,11 @@
         text = Path(f"/proc/{self.processes.members[name].pid}/status").read_text()
         return int(text.partition("VmRSS:")[2].split()[0])
 
+    def peak_memory_kb(self, name: str) -> int:
+        """Returns the most resident memory that a running process has had."""
+        text = Path(f"/proc/{self.processes.members[name].pid}/status").read_text()
+        return int(text.partition("VmHWM:")[2].split()[0])
+
     # The scenario
 
     def connect(self, name: str = "n0", receive_buffer: int = 0) -> RawClient:
--- a/hazelhollow/soak/run.py
+++ b/hazelhollow/soak/run.py
@@ -4,10 +4,18 @@
 
 import random
 import signal
-from collections.abc import Sequence
+from dataclasses import replace
 
+from hazelhollow.soak.answers import ID_DIGITS, AnswerWriter
 from hazelhollow.soak.clients import SoakClient
-from hazelhollow.soak.plan import CROWD_CLIENTS, FAULT_SHARE, SERVER_KINDS, Operation, SoakPlan
+from hazelhollow.soak.hostile_clients import read_nothing
+from hazelhollow.soak.plan import (
+    CLIENTS_WITHOUT_READER,
+    CROWD_CLIENTS,
+    LIMITER_MEMORY_MB,
+    Operation,
+    SoakPlan,
+)
 from hazelhollow.soak.raw_client import RawClient
 from hazelhollow.soak.record import (
     DrainRecord,
@@ -16,50 +24,48 @@
     PauseRecord,
     RequestRecord,
     SoakRecord,
-    value_for,
 )
 from hazelhollow.soak.rig import Rig, RigOptions
 from hazelhollow.soak.wire import Kind, encode
-from hazelhollow.standins.answer_script import AnswerScript, End, Pause, Write, answer, in_pieces
 
 MAX_PAUSE_S = 0.15  # for which a process may be held up
 EARLIEST_KILL_S = 3.7  # after SIGTERM: the longest deadline and 0.7 s
 SILENCE_S = 2.5  # of discovery
+WORK_S = 0.01  # processing time of a request
 LATENESS_POLL_S = 0.01
-ID_DIGITS = 12  # of an id; the size of its value in hexadecimal follows
-FAULTY_ANSWERS = ("pieces", "reset", "hang", "error", "busy", "unsound")
-UNSOUND_ANSWERS = (
-    b"*3\r\n+value\r\n$-1\r\n$-1\r\n",
-    b"*3\r\n$05\r\nvalue\r\n$-1\r\n$-1\r\n",
-    b"*2\r\n$5\r\nvalue\r\n$-1\r\n",
-    b"*3\r\n$9\r\nvalue\r\n$-1\r\n$-1\r\n",
-    b"$5\r\nvalue\r\n",
-)
+NO_READER_INTERVAL_S = 0.015  # between connections of clients that read nothing
 
 
 class SoakRun:
     """One run of a plan; `run` may be called once."""
 
-    def __init__(self, plan: SoakPlan) -> None:
+    def __init__(self, plan: SoakPlan, options: RigOptions | None = None) -> None:
+        """`options`: of the limiters; their numbers are those of the plan."""
         self.plan, self.record = plan, SoakRecord()
         self._draw = random.Random(plan.seed + 1)
-        options = RigOptions(limiters=plan.limiters, endpoints=plan.endpoints, work=0.01)
+        options = options or RigOptions()
+        options = replace(
+            options,
+            limiters=plan.limiters,
+            endpoints=plan.endpoints,
+            work=WORK_S,
+            limits={**options.limits, "memory_mb": LIMITER_MEMORY_MB},
+        )
         self.rig = Rig(options)
+        self._answers = AnswerWriter(plan, self.rig, self.record, self._draw)
+        self._without_reader: list[RawClient] = []
         self._busy = {f"s-{number}": 0 for number in range(plan.endpoints)}
         self._crowd: list[RawClient] = []
         self._starting = set[str]()
         self._broken_files = set[str]()  # limiters whose file is broken now
         self._ending = set[str]()  # processes that have been told to end
-        self._refused = set[tuple[str, bytes]]()  # endpoints with the ids that they refused
-        self._kinds = [kind for kind in FAULTY_ANSWERS if plan.has(f"server: {kind}")]
         self._running: dict[str, str] = {name: name for name in self.rig.names}
         self._open_operations = 0
-        assert set(FAULTY_ANSWERS) < set(SERVER_KINDS)
 
     def run(self) -> SoakRecord:
         """Plays the plan."""
         with self.rig:
-            self.rig.script = self._script
+            self.rig.script = self._answers.script
             self.rig.run(self._play, timeout=self.plan.seconds + 60.0)
             self._collect_executions()
         return self.record
@@ -74,6 +80,8 @@
         clients = [SoakClient(rig, plan, n, self.record) for n in range(plan.clients)]
         for client in clients:
             rig.scheduler.spawn(client.run, begin + plan.seconds, name="client")
+        if plan.has("client: no reader"):
+            rig.scheduler.spawn(self._connect_clients_without_reader, name="no readers")
         if plan.has("server: drain"):
             rig.scheduler.at(begin + plan.seconds / 2, self._drain_one)
         for operation in plan.operations:
@@ -82,14 +90,24 @@
             rig.scheduler.spawn(self._operate, operation, name=operation.what)
         while not all(client.is_done for client in clients) or self._open_operations:
             rig.scheduler.sleep(0.05)
-        for idle in self._crowd:
+        for idle in self._crowd + self._without_reader:
             idle.close()
         self._probe()
         for process in self._running.values():
             if rig.processes.reap(process):
                 self.record.crashes.append(f"{process}: {rig.log(process, 300)}")
             else:
-                self.record.peak_memory_kb = max(self.record.peak_memory_kb, rig.memory_kb(process))
+                self._note_memory(process)
+
+    def _connect_clients_without_reader(self) -> None:
+        for _ in range(CLIENTS_WITHOUT_READER):
+            name = self._draw.choice(self.rig.names)
+            self._without_reader.append(read_nothing(self.rig, self._draw, name))
+            self.rig.scheduler.sleep(NO_READER_INTERVAL_S)
+
+    def _note_memory(self, process: str) -> None:
+        peak = max(self.record.peak_memory_kb, self.rig.peak_memory_kb(process))
+        self.record.peak_memory_kb = peak
 
     def _measure_lateness(self) -> None:
         while True:
@@ -100,38 +118,6 @@
 
     # Endpoints
 
-    def _script(self, arguments: list[bytes]) -> AnswerScript:
-        request_id = arguments[2].decode()
-        digits = request_id[ID_DIGITS:]
-        value = value_for(request_id, int(digits, 16) if digits else 0)
-        whole = answer(value, b"used=1", b"inflight=1,queue=0,util=0.1")
-        faults = len(self._kinds) * FAULT_SHARE
-        if self._kinds and self._draw.random() < faults:
-            kind = self._draw.choice(self._kinds)
-            if kind == "busy":
-                self._record_refusal(arguments[2])
-            return self._faulty(kind, whole)
-        pieces = self._draw.choice((1, 3)) if len(value) > 70_000 else 1
-        return in_pieces(whole, pieces, 0.1) if pieces > 1 else [Write(whole)]
-
-    def _record_refusal(self, request_id: bytes) -> None:
-        latest = next(run for run in reversed(self.rig.executions) if run.id == request_id)
-        self._refused.add((latest.endpoint, request_id))
-
-    def _faulty(self, kind: str, whole: bytes) -> Sequence[Write | Pause | End]:
-        if kind == "pieces":
-            return in_pieces(whole, self._draw.choice((2, 4)), 0.05 + 0.2 * self._draw.random())
-        if kind == "reset":
-            cut = self._draw.randrange(len(whole))
-            return [Write(whole[: cut if self._draw.random() < 0.5 else 0]), Pause(0.02), End.RESET]
-        if kind == "hang":
-            return [End.HANG]
-        if kind == "error":
-            return [Write(b"-ERR failed inflight=1,queue=0,util=0.1\r\n")]
-        if kind == "busy":
-            return [Write(b"-BUSY\r\n")]
-        return [Write(self._draw.choice(UNSOUND_ANSWERS)), Pause(0.05), End.CLOSE]
-
     def _drain_one(self) -> None:
         number = self._draw.randrange(self.plan.endpoints)
         cell = number % self.rig.options.cells
@@ -144,7 +130,7 @@
         for run in self.rig.executions:
             fields = dict(item.split("=", 1) for item in run.arguments[3].decode().split(","))
             told = int(fields["d"]) / 1000
-            refused = (run.endpoint, run.id) in self._refused
+            refused = (run.endpoint, run.id) in self._answers.refused
             self.record.executions.append(
                 ExecutionRecord(run.time, run.endpoint, run.cell, run.id.decode(), told, refused)
             )
@@ -208,6 +194,7 @@
             return False
         self._ending.add(process)
         began = self.rig.scheduler.clock()
+        self._note_memory(process)
         self.rig.terminate(process)
         has_ended = self.rig.await_end(process, EARLIEST_KILL_S)
         after = self.rig.scheduler.clock() - began
@@ -233,7 +220,7 @@
 
     def _probe(self) -> None:
         """Sends requests until one is served, for some seconds."""
-        self._kinds = []
+        self._answers.kinds = []
         until = self.rig.scheduler.clock() + 6.0
         while self.rig.scheduler.clock() < until and not self.record.served_at_end:
             client = self.rig.connect()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 import sys
 from dataclasses import replace
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 
@@ -23,6 +24,7 @@
     digest,
     value_for,
 )
+from hazelhollow.soak.rig import RigOptions
 from hazelhollow.soak.run import SoakRun
 
 SECONDS = 5.0
@@ -36,6 +38,30 @@
     assert judge(record) == [] and len(record.executions) > 50
 
 
+# The kinds of report 6d635e, and for each a fault that the run has to find: kinds, rules.
+PLANTED_FAULTS: dict[str, tuple[tuple[str, ...], set[str]]] = {
+    "begin at the head": (("server: heads", "server: long"), {"late", "answered"}),
+    "never end a silent value": (("server: stops", "server: long"), {"answered", "begun"}),
+    "cut off a slow value": (("server: drips", "server: long"), {"begun"}),
+    "forward before judging": (("client: bytes behind", "server: pieces"), {"unsound"}),
+    "serve ids of others": (("client: other id", "server: pieces"), {"unsound"}),
+    "read without room": (("client: no reader",), {"memory"}),
+}
+PLANTED_SEED = 7
+
+
+@pytest.mark.parametrize("fault", PLANTED_FAULTS)
+def test_run_of_the_kinds_of_a_fault_holds_without_it_and_finds_it(fault: str) -> None:
+    kinds, rules = PLANTED_FAULTS[fault]
+    plan = draw_plan(PLANTED_SEED, SECONDS, kinds=kinds)
+    if fault == "read without room":  # so many endpoints that none is overloaded
+        plan = msgspec.structs.replace(plan, endpoints=140)
+    assert judge(SoakRun(plan).run()) == []
+    environment = {"PLANTED_FAULT": fault}
+    options = RigOptions(module="tests.soak.planted_serve", environment=environment)
+    assert {one.rule for one in check(SoakRun(plan, options).run())} & rules
+
+
 def test_plan_of_a_seed_is_the_same_in_processes_with_other_hash_seeds() -> None:
     plans = {
         subprocess.run(
@@ -106,6 +132,22 @@
     "ran after its client left": (LEFT, (replace(RUN, at=10.5, told_wait=0.5),), "gone"),
     "unsound request ran": (replace(SOUND, is_sound=False, outcome="error"), (), "unsound"),
     "unsound request served": (replace(SOUND, is_sound=False), (), "unsound"),
+    "unsound request served under an open id": (
+        replace(SOUND, is_sound=False, may_run=True), (), "unsound",
+    ),
+    "value cut off": (
+        replace(SOUND, value_size=70_000, outcome="partial", last_byte_at=10.1), (), "begun",
+    ),
+    "value that stopped, told too late": (
+        replace(SOUND, value_size=70_000, outcome="partial", last_byte_at=10.1, ended_at=13.8),
+        (),
+        "begun",
+    ),
+    "value that began late and broke": (
+        replace(SOUND, outcome="partial", first_byte_at=11.6, last_byte_at=11.6, ended_at=12.0),
+        (),
+        "late",
+    ),
     "told too much": (SOUND, (replace(RUN, told_wait=1.2),), "told time"),
 }  # fmt: skip
 
@@ -123,6 +165,7 @@
         ({"exits": [ExitRecord("n0", 20.0, 1.0, -9)]}, "exit"),
         ({"crashes": ["n0"]}, "exit"),
         ({"served_at_end": False}, "service"),
+        ({"peak_memory_kb": 200_000}, "memory"),
     ):
         assert rule in {one.rule for one in check(replace(record_of(), **change))}
     assert check(replace(record_of(), exits=[ExitRecord("n0", 20.0, 3.71, -9)])) == []
