Judge bytes behind a request without room for another one, and late in a shutdown

Cause: while memory for pipelined requests was short, a session with a request in flight did not read; from 0.7 s after SIGTERM on no session reads. Change: reading asks for room for one request of the whole memory, execution for that of pipelined ones. After the end of reading the socket is looked at (MSG_PEEK) with each wake-up of the shutdown: unreadable bytes end the session, sound ones stay unread, since what was read is owed an answer.

--- a/hazelhollow/net/command_parser.py
+++ b/hazelhollow/net/command_parser.py
@@ -65,6 +65,14 @@
         self._ring.clear()
         self._arguments, self._count, self._length = [], 0, BETWEEN_ARGUMENTS
 
+    def copy(self) -> CommandParser:
+        """Returns a parser in the same state, with buffers of its own."""
+        other = CommandParser()
+        other._ring.write(self._ring.to_bytes())
+        other._arguments, other._count = list(self._arguments), self._count
+        other._length, other._command_bytes = self._length, self._command_bytes
+        return other
+
     def feed(self, data: bytes) -> None:
         """Buffers received bytes; raises ProtocolError if there are too many."""
         try:
--- a/hazelhollow/net/command_reader.py
+++ b/hazelhollow/net/command_reader.py
@@ -130,6 +130,17 @@
                 return
         self._execute_queued(session)
 
+    def error_in(self, data: bytes) -> str | None:
+        """Returns why bytes that follow those read so far are no command; None if they may be."""
+        parser = self._parser.copy()
+        try:
+            parser.feed(data)
+            while parser.next() is not None:
+                pass
+        except ProtocolError as error:
+            return str(error)
+        return None
+
     def stop(self) -> int:
         """Stops reading; returns how many commands were read and not executed."""
         self.stopped = True
--- a/hazelhollow/net/ring_buffer.py
+++ b/hazelhollow/net/ring_buffer.py
@@ -88,6 +88,12 @@
         at = (self._head + offset) % len(self._buffer)
         return bytes(self._buffer[at : at + 1])
 
+    def to_bytes(self) -> bytes:
+        """Returns all bytes, which stay in the buffer."""
+        end = self._head + self._size
+        capacity = len(self._buffer)
+        return bytes(self._buffer[self._head : end]) + bytes(self._buffer[: max(end - capacity, 0)])
+
     def clear(self) -> None:
         """Removes all bytes."""
         self._head = self._size = 0
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -222,6 +222,9 @@
         )
 
     def _has_memory(self) -> bool:
+        """Whether there is room to execute a request."""
+        if not self.memory.has_room(is_pipelined=not self._has_sent_all_answers()):
+            self._stream.flush()  # what has been sent is not held any more
         return self.memory.has_room(is_pipelined=not self._has_sent_all_answers())
 
     def reject_partial_command(self) -> bool:
@@ -341,6 +344,7 @@
             if self._break_reason or self.reader.stopped or self.finishing:
                 connection.flush()
                 self._stop_accepting_if_due()
+                self._judge_unread()
                 reason = self._reason_if_finished()
                 if reason:
                     return reason
@@ -357,7 +361,7 @@
                 self._input.read_final_input(self)
             elif bits != WOKEN and bits & (PEER_CLOSED | SOCKET_ERROR):
                 return CloseReason.CLOSED if bits & PEER_CLOSED else CloseReason.RESET
-            elif bits != WOKEN and bits & READABLE and self._has_room_to_go_on():
+            elif bits != WOKEN and bits & READABLE and self._may_read():
                 result = self._input.read(self)
                 if isinstance(result, CloseReason):
                     return result
@@ -368,6 +372,13 @@
             self.unserved_command_limit.lift()
             self._input.stop_accepting(self)
 
+    def _judge_unread(self) -> None:
+        """Ends the session if input that it does not read any more cannot be read."""
+        if self.slots and not self._input.is_accepting() and not self.reader.stopped:
+            why = self._input.unread_error()
+            if why:
+                self.reject(why)
+
     def _reason_if_finished(self) -> CloseReason | None:
         """Returns the close reason if FINISHING, REJECTED or a broken value is over, else None."""
         if self._break_reason:
@@ -394,19 +405,20 @@
             return self.unserved_command_limit.available_at(), 0
         now = self._frontend.scheduler.clock()
         self._waits_for_memory = False
-        if not self._has_room_to_go_on():
+        if self.reader.has_queued() and not self._has_memory():
             return self._wait_for_memory(now), 0
         if self.reader.has_queued() or self._input.has_final_input():
             return now, 0  # next turn, after other connections
+        if not self._may_read():
+            return self._wait_for_memory(now), 0
         return None, READABLE if self._input.is_accepting() and self._accepts_commands() else 0
 
-    def _has_room_to_go_on(self) -> bool:
-        """Whether a command may be read or executed; a part of one keeps what it holds."""
-        if self.reader.has_partial_command() and not self.reader.has_queued():
-            return True
-        if not self._has_memory():
-            self._stream.flush()  # what has been sent is not held any more
-        return self._has_memory()
+    def _may_read(self) -> bool:
+        """Whether there is room to read; a part of a command keeps what it holds.
+
+        Also while requests are in flight: what stands behind them has to be judged.
+        """
+        return self.reader.has_partial_command() or self.memory.has_room(is_pipelined=False)
 
     def _wait_for_memory(self, now: float) -> float | None:
         """Asks to be woken when there is room; returns when to continue without it.
@@ -415,5 +427,8 @@
         """
         self._waits_for_memory = True
         self._stream.has_room(MAX_UNSENT_BYTES)
+        if not self.reader.has_queued():
+            self.memory.wait_for_room(self._stream.wake, is_pipelined=False)
+            return None
         self.memory.wait_for_room(self._stream.wake, not self._has_sent_all_answers())
-        return (self.reader.queued_deadline() or now) if self.reader.has_queued() else None
+        return self.reader.queued_deadline() or now
--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -151,6 +151,14 @@
         self._final_bytes = MAX_FINAL_BYTES
         self.read_final_input(session)
 
+    def unread_error(self) -> str | None:
+        """Returns why the input that arrived after the end cannot be read; None if it can be.
+
+        It is looked at and stays in the socket: what was read would be owed an answer.
+        """
+        data = self._stream.peek(READ_CHUNK_BYTES)
+        return self._reader.error_in(data) if data and self.has_executed_all() else None
+
     def read_final_input(self, session: Session) -> None:
         """Reads as much of the final input as the reader's buffer has room for."""
         while self._final_bytes and self._reader.room() > 0:
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -219,6 +219,13 @@
             return self.close_reason is None and error.errno in (errno.EAGAIN, errno.EINTR)
         return False
 
+    def peek(self, size: int) -> bytes:
+        """Returns up to `size` received bytes and leaves them unread; empty if there are none."""
+        try:
+            return b"" if self.close_reason else self._sock.recv(size, socket.MSG_PEEK)
+        except OSError:
+            return b""
+
     def seconds_since_last_input(self) -> float:
         """Returns how long ago the operating system received the last bytes; 0 if it cannot tell.
 
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -142,3 +142,11 @@
         stage.play("wait 0.1\na expect **")
     stage.play("wait 12")
     assert memory.held_bytes == 0
+
+
+def test_bytes_behind_a_request_are_judged_without_room_for_another() -> None:
+    """Guards against a request that is served since what stands behind it is not read."""
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
+    fill(stage, 0.7)
+    stage.play("a send junk\ns1.1 expect closed\na expect -ERR failed\\r\\n-ERR protocol **")
--- a/tests/net/test_request_states.py
+++ b/tests/net/test_request_states.py
@@ -264,6 +264,17 @@
     assert nothing_is_open(stage)
 
 
+@state("unreadable bytes behind, late in a shutdown")
+def unreadable_bytes_behind_late_in_a_shutdown() -> None:
+    """Nothing is read any more, and what stands behind a request is judged all the same."""
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1, 2900)}\ns1 expect {ask(1, 2900)}")
+    stage.service.shutdown.begin()
+    stage.play(f"wait 0.9\na send {ask(2)}\nwait 0.1\na expect nothing\na send junk\nwait 0.1")
+    stage.play(f"s1.1 expect closed\na expect {ERROR}\\r\\n-ERR protocol error: unknown **")
+    assert nothing_is_open(stage) and stage.service.stats.requests == 1
+
+
 @state("closed on one side")
 def closed_on_one_side() -> None:
     stage = Stage()
