soak: note both clients of an id at once, and the time of the value that was served

For bytes behind, the time of the last answer was taken for that of the value. Change: both clients are read at once; each value has its own time.

--- a/hazelhollow/soak/hostile_clients.py
+++ b/hazelhollow/soak/hostile_clients.py
@@ -11,6 +11,7 @@
 from hazelhollow.soak.wire import Kind, encode
 
 ANSWER_TIMEOUT_S = 4.0  # beyond the 3 s within which such a client is owed an error or a close
+POLL_S = 0.01
 CROSSING_S = 0.05  # an answer that comes so soon after unreadable bytes may have crossed them
 COMMANDS_WITHOUT_READER = 64
 UNREAD_VALUE_BYTES = 60_000
@@ -42,14 +43,12 @@
         rig.scheduler.sleep(0.2 * draw.random())
         client.send(junk)
     request.sent_at = rig.scheduler.clock()
-    found = client.answer(ANSWER_TIMEOUT_S)
-    answers = list[Kind]()
-    while found is not None:
-        answers.append(found.kind)
-        found = client.answer(ANSWER_TIMEOUT_S)
+    is_served = False
+    while (found := client.answer(ANSWER_TIMEOUT_S)) is not None:
+        request.first_byte_at = client.first_byte_at
+        is_crossing = is_later and request.first_byte_at < request.sent_at + CROSSING_S
+        is_served = is_served or (found.kind is Kind.VALUE and not is_crossing)
     request.ended_at = rig.scheduler.clock()
-    is_crossing = client.first_byte_at < request.sent_at + CROSSING_S and is_later
-    is_served = Kind.VALUE in answers and not is_crossing
     request.outcome = "value" if is_served else "closed" if client.closed else "silent"
     client.close()
 
@@ -69,19 +68,26 @@
     record.requests += [opened, stolen]
     first.send(opened_data)
     opened.sent_at = rig.scheduler.clock()
+    rig.scheduler.spawn(_note_answer, rig, first, opened, name="client whose id is used")
     rig.scheduler.sleep(0.05 + 0.1 * draw.random())
     second.send(data)
     stolen.sent_at = rig.scheduler.clock()
-    for client, request in ((second, stolen), (first, opened)):
-        found = client.answer(ANSWER_TIMEOUT_S)
-        request.ended_at = client.completed_at if found else rig.scheduler.clock()
-        request.first_byte_at = client.first_byte_at
-        names = {Kind.VALUE: "value", Kind.BUSY: "busy"}
-        ended = "closed" if client.closed else "silent"
-        request.outcome = names.get(found.kind, "error") if found else ended
-        if found and found.kind is Kind.VALUE:
-            request.set_value(found.text)
-        client.close()
+    _note_answer(rig, second, stolen)
+    while not opened.outcome:
+        rig.scheduler.sleep(POLL_S)
+
+
+def _note_answer(rig: Rig, client: RawClient, request: RequestRecord) -> None:
+    """Waits for the only answer of a connection, notes it, and closes the connection."""
+    found = client.answer(ANSWER_TIMEOUT_S)
+    request.ended_at = client.completed_at if found else rig.scheduler.clock()
+    request.first_byte_at = client.first_byte_at
+    if found and found.kind is Kind.VALUE:
+        request.set_value(found.text)
+    names = {Kind.VALUE: "value", Kind.BUSY: "busy"}
+    ended = "closed" if client.closed else "silent"
+    request.outcome = names.get(found.kind, "error") if found else ended
+    client.close()
 
 
 def read_nothing(rig: Rig, draw: random.Random, name: str) -> RawClient:
