Let an id that another customer has open at the other process of an upgrade be an error

Cause: the processes share executions by customer and id, and an id was compared within one process only. Change: reported ids count as open for 3 s, the longest wait; another customer's request under one gets an error. Open: classes that are safe to repeat are not shared, so that such an id is noticed by its own process only.

--- a/hazelhollow/net/command_reader.py
+++ b/hazelhollow/net/command_reader.py
@@ -173,7 +173,7 @@
     def _execute_queued(self, session: Session) -> None:
         """Executes queued commands as far as the session's limits allow, some in each turn."""
         for _ in range(MAX_COMMANDS_PER_TURN):
-            if not self._queue or self.stopped or not session.may_execute():
+            if not self._queue or not session.may_execute():
                 return
             command = self._queue.popleft()
             self._queued_bytes -= command.size
--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -29,6 +29,7 @@
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.connection_pool import ConnectionPool
 from hazelhollow.net.execution_log import ExecutionLog
+from hazelhollow.net.ids_elsewhere import IdsElsewhere
 from hazelhollow.net.open_request import Forwardable, OpenRequest, Responder
 from hazelhollow.net.peer_socket import PeerSocket
 from hazelhollow.net.rate_limited_log import RateLimitedLog
@@ -86,6 +87,7 @@
         self.on_count: Callable[[api.ReplicateCount], None] | None = None
         self.attempts_by_endpoint: Counter[str] | None = None
         self.executions: ExecutionLog | None = None
+        self._ids_elsewhere = IdsElsewhere()
         self.classes_to_run_once = frozenset[str]()
         self.sampled_ids, self.max_samples = list[str](), 0
         self.open_requests: dict[str, OpenRequest] = {}
@@ -110,7 +112,14 @@
             self._stats.reply(request.class_name, "overload")
             responder.send_busy(0)
             return None
-        if request.id in self.open_requests:
+        if self.executions and request.class_name in self.classes_to_run_once:
+            reported = self.executions.read()
+            if reported:
+                self._ids_elsewhere.add(reported, self._scheduler.clock())
+                self._handle(api.ExecutionsReported(reported))
+        if request.id in self.open_requests or self._ids_elsewhere.is_open(
+            request, self._scheduler.clock()
+        ):
             # An id stands for one request, whoever sends it, while that is open or runs; an
             # endpoint's answer could not be assigned to either of two. The first one goes on.
             self._stats.duplicate_ids += 1
@@ -118,10 +127,6 @@
             self._stats.reply(request.class_name, "error")
             responder.send_failure()
             return None
-        if self.executions and request.class_name in self.classes_to_run_once:
-            reported = self.executions.read()
-            if reported:
-                self._handle(api.ExecutionsReported(reported))
         deadline = self._scheduler.clock() + request.time_left
         opened = OpenRequest(request.id, parsed, responder, deadline)
         self.open_requests[request.id] = opened
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -150,3 +150,22 @@
     stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
     fill(stage, 0.7)
     stage.play("a send junk\ns1.1 expect closed\na expect -ERR failed\\r\\n-ERR protocol **")
+
+
+def test_queued_request_is_answered_by_its_time_while_nothing_has_room() -> None:
+    """Guards against a queue that waits for memory beyond the deadline of what is in it."""
+    stage = Stage(hosts=1)
+    fill(stage, 0.7)
+    stage._end("a").sendall(stage.bytes_of(ask(1)) + stage.bytes_of(ask(2, 700)))
+    stage.settle()
+    fill(stage, 2.0)
+    stage.play("wait 0.8")
+    assert stage.service.stats.requests == 2 and stage.service.stats.attempts == 1
+
+
+def test_request_that_waited_for_discovery_is_not_forwarded_after_unreadable_bytes() -> None:
+    stage = Stage(hosts=1, discovery_answered=False)
+    stage.play(f"a send {ask(1)}\na send junk\na expect -ERR failed\\r\\n-ERR protocol **")
+    stage.service.frontend.set_ready()
+    stage.settle()
+    assert not stage.service.stats.requests
--- a/tests/net/test_execution_log.py
+++ b/tests/net/test_execution_log.py
@@ -13,6 +13,9 @@
 from hazelhollow.decisions.state import executions as memory_module
 from hazelhollow.decisions.state.executions import ExecutionMemory
 from hazelhollow.net.execution_log import KEPT_SLICES, SLICE_S, ExecutionLog
+from hazelhollow.net.ids_elsewhere import IdsElsewhere
+from tests.net.scenario import Stage
+from tests.net.test_scenarios import DO
 
 
 class Machine:
@@ -133,3 +136,32 @@
     assert found.cell == 1
     (other,) = memory.find(replace(request(1), customer="d"))
     assert other.cell == 2
+
+
+@pytest.mark.parametrize("age", [0.1, 2.9, 3.1])
+def test_id_that_another_customer_has_open_at_the_other_process_is_an_error(
+    age: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The two processes of an upgrade are one limiter; after any deadline the id is free."""
+    stage = Stage(hosts=1)
+    command = DO.format(1)
+    there = api.ReportedExecution("00000000000000aa", "r1", "w.1", "a", 0, "", age, False)
+    reports = [(there,)]
+    executions = stage.service.engine_driver.executions
+    assert executions
+    monkeypatch.setattr(executions, "read", lambda: reports.pop() if reports else ())
+    stage.play(f"a send {command}")
+    if age < 3.0:
+        stage.play(f"a expect -ERR failed\nwait {3.0 - age}\na send {command}")
+    stage.play(f"s1 expect {command}")
+    assert stage.service.stats.attempts == 1
+
+
+def test_id_is_free_once_the_other_process_reports_that_it_never_ran() -> None:
+    ids = IdsElsewhere()
+    there = api.ReportedExecution("d", "r1", "w.1", "a", 0, "", 0.1, False)
+    ids.add((there,), 10.0)
+    assert ids.is_open(request(1), 10.0)
+    assert not ids.is_open(replace(request(1), customer="d"), 10.0)
+    ids.add((there._replace(never_ran=True),), 10.1)
+    assert not ids.is_open(request(1), 10.1)
