soak: judge a used id by the runs beside the open request

Cause: a run beside an open request was not seen once the first answer was there, and a second run after it was taken for a second execution of the first request; connections refused at a restart counted as requests.

--- a/hazelhollow/soak/checker.py
+++ b/hazelhollow/soak/checker.py
@@ -50,6 +50,7 @@
 PATIENCE_S = 3.6  # for which a client waits for a further byte of a value that has begun
 MAX_MEMORY_KB = LIMITER_MEMORY_MB * 1024
 TIMED_RULES = ("late", "begun", "gone", "told time", "drain", "unsound")
+CROSSING_S = 0.02  # between the end of an answer and when its client notes it
 KILL_SLACK_S = 0.3  # between the end of a process and when its clients note it
 MAX_OWN_LATENESS_S = 0.05  # beyond it the run's own figures are not exact enough to judge
 
@@ -77,7 +78,10 @@
         else:
             found += _check_request(request, runs[request.id])
             found += _check_begun(request, record)
+    shared_ids = {one.id for one in record.requests if not one.is_sound and one.may_run}
     for request_id, requests in by_id.items():
+        if request_id in shared_ids:  # its runs may be those of another client's request
+            continue
         found += _check_executions(requests, runs[request_id])
         found += _check_told_time(requests, runs[request_id], record.pauses)
     found += _check_processes(record)
@@ -121,9 +125,8 @@
     request: RequestRecord, runs: list[ExecutionRecord], same_id: list[RequestRecord]
 ) -> Iterator[Violation]:
     """`same_id`: the sound requests whose id it has; once they have ended, the id is free."""
-    if same_id and not any(
-        other.sent_at < request.sent_at and request.ended_at < other.ended_at for other in same_id
-    ):
+    if same_id:
+        yield from _check_used_id(request, runs, same_id[0])
         return
     in_time = request.ended_at - request.sent_at <= UNSOUND_ANSWER_S
     has_run = runs and not request.may_run
@@ -131,6 +134,18 @@
         yield Violation("unsound", f"{request}, ran {len(runs)} times")
 
 
+def _check_used_id(
+    request: RequestRecord, runs: list[ExecutionRecord], opened: RequestRecord
+) -> Iterator[Violation]:
+    """`opened`: the request of another client that has the id."""
+    if not opened.sent_at < request.sent_at < opened.ended_at:
+        return
+    until = opened.ended_at - CROSSING_S
+    ran_beside = any(request.sent_at <= run.at < until for run in runs)
+    if request.outcome == "silent" or (request.outcome == "value" and ran_beside):
+        yield Violation("unsound", f"{request} under the id of {opened}")
+
+
 def _check_begun(request: RequestRecord, record: SoakRecord) -> Iterator[Violation]:
     if request.outcome != "partial":
         return
--- a/hazelhollow/soak/hostile_clients.py
+++ b/hazelhollow/soak/hostile_clients.py
@@ -37,8 +37,10 @@
     junk, is_later = draw.choice(UNREADABLE), draw.random() < 0.5
     record.held_ids.add(request.id)
     request.is_sound, request.may_run = False, is_later
+    if not client.connected or not client.send(data if is_later else data + junk):
+        client.close()  # refused, or reset before it was accepted
+        return
     record.requests.append(request)
-    client.send(data if is_later else data + junk)
     if is_later:
         rig.scheduler.sleep(0.2 * draw.random())
         client.send(junk)
@@ -65,8 +67,12 @@
         b"$%d\r\n%b" % (len(opened.id), opened.id.encode()),
     )
     stolen.id, stolen.is_sound, stolen.may_run = opened.id, False, True
+    are_connected = first.connected and second.connected
+    if not are_connected or not first.send(opened_data):
+        first.close()
+        second.close()
+        return
     record.requests += [opened, stolen]
-    first.send(opened_data)
     opened.sent_at = rig.scheduler.clock()
     rig.scheduler.spawn(_note_answer, rig, first, opened, name="client whose id is used")
     rig.scheduler.sleep(0.05 + 0.1 * draw.random())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -132,9 +132,6 @@
     "ran after its client left": (LEFT, (replace(RUN, at=10.5, told_wait=0.5),), "gone"),
     "unsound request ran": (replace(SOUND, is_sound=False, outcome="error"), (), "unsound"),
     "unsound request served": (replace(SOUND, is_sound=False), (), "unsound"),
-    "unsound request served under an open id": (
-        replace(SOUND, is_sound=False, may_run=True), (), "unsound",
-    ),
     "value cut off": (
         replace(SOUND, value_size=70_000, outcome="partial", last_byte_at=10.1), (), "begun",
     ),
@@ -171,6 +168,18 @@
     assert check(replace(record_of(), exits=[ExitRecord("n0", 20.0, 3.71, -9)])) == []
 
 
+def test_planted_use_of_the_id_of_an_open_request_is_found() -> None:
+    used = replace(SOUND, is_sound=False, may_run=True, sent_at=10.06, ended_at=10.15)
+    beside, after = replace(RUN, at=10.07), replace(RUN, at=10.11)
+    record = record_of(SOUND, RUN, beside)
+    record.requests.append(used)
+    assert {one.rule for one in check(record)} == {"unsound"}
+    record.executions[1] = after  # the id was free again
+    assert check(record) == []
+    record.requests[1] = replace(used, outcome="silent")
+    assert {one.rule for one in check(record)} == {"unsound"}
+
+
 def test_run_that_was_late_itself_is_judged_by_the_rules_without_times() -> None:
     late = replace(record_of(replace(SOUND, ended_at=11.6)), max_lateness=1.0)
     twice = replace(record_of(SOUND, RUN, replace(RUN, at=10.06)), max_lateness=1.0)
