Deduct the time without room in memory beyond the cap of a backlog

Cause: up to 1 s of a backlog is deducted, for a client that never stops sending; time in which the session itself did not read counted within that second. Change: the pauses of a session since its backlog began are deducted in full. The new test fails without the change.

--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -48,6 +48,8 @@
         "is_reading",
         "_backlog_since",
         "_emptied_at",
+        "_paused_at",
+        "_paused_s",
         "_stream",
         "_reader",
         "_unread_since",
@@ -61,6 +63,8 @@
         # Since when the client may always have written more than was read; None if not.
         self._backlog_since: float | None = None
         self._emptied_at: float | None = None  # when the last read emptied the socket, if it did
+        self._paused_at = 0.0  # when the session last stopped reading
+        self._paused_s = 0.0  # for which it has not read since the backlog began
         # When the session stopped reading; None once the socket was found empty again.
         self._unread_since: float | None = None
         self._resumed_at = math.inf  # when it last began to read again; infinite while paused
@@ -68,12 +72,16 @@
 
     def set_reading(self, is_reading: bool) -> None:
         """Notes whether the session waits for bytes from now on."""
+        now = self._stream.scheduler.clock()
         if not is_reading:
             self._resumed_at = math.inf
             if self._unread_since is None:
-                self._unread_since = self._stream.scheduler.clock()
+                self._unread_since = now
+            if self.is_reading:
+                self._paused_at = now
         elif not self.is_reading:
-            self._resumed_at = self._stream.scheduler.clock()
+            self._resumed_at = now
+            self._paused_s += now - self._paused_at
         self.is_reading = is_reading
 
     def read(self, session: Session) -> int | CloseReason:
@@ -106,8 +114,8 @@
         self._emptied_at = None if has_more else now
         since = self._backlog_since
         if since is None and has_more:
-            self._backlog_since = arrived_since
-        return now if since is None else max(since, now - MAX_BACKLOG_S)
+            self._backlog_since, self._paused_s = arrived_since, 0.0
+        return now if since is None else max(since, now - MAX_BACKLOG_S - self._paused_s)
 
     def _received_since(self) -> float:
         """Returns when the last input arrived, possibly before its connection was accepted."""
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -180,3 +180,30 @@
     stage._end("a").sendall(stage.bytes_of(ask(20, 2500)))
     stage.settle()
     assert told[-1][1] > 2.5 - 0.05
+
+
+def test_time_without_room_in_memory_is_deducted_beyond_the_cap_of_a_backlog(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against endpoints that are told more time than the client has left.
+
+    A client writes more than its system passes on at once; for 1.6 s there is no room to execute
+    the first part, and the last part arrives when that has been read.
+    """
+    stage = Stage(hosts=1)
+    told = observe_requests(stage, monkeypatch)
+    memory = stage.service.frontend.memory
+    stage.play("a expect nothing")
+    written_at = stage.now
+    stage._end("a").sendall(b"".join(stage.bytes_of(ask(n, 2900)) for n in range(200)))
+    stage.settle(1)
+    memory.add(2 * memory.max_bytes)
+    stage.play("wait 1.6")
+    memory.add(-2 * memory.max_bytes)
+    stage.settle()
+    while len(told) < 200:
+        stage._wait(0.1)
+    stage._end("a").sendall(stage.bytes_of(ask(900, 2900)))
+    stage.settle()
+    assert len(told) == 201
+    assert all(time_left <= 2.9 - (now - written_at) + 0.15 for now, time_left in told)
