Share the ids of safe requests between the two processes of an upgrade

Cause: only requests that must not run twice are written to the shared file, and it was read for these only. Change: a process announces itself in the file; while another has written within 15 s, each safe request writes an entry of kind open, and every request reads first. Measured: the tests with two logs on one clock, keyed and safe, pass; without another process nothing more is written than one entry at the start. Open: what was open before the other process was first heard is not shared.

--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -29,7 +29,6 @@
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.connection_pool import ConnectionPool
 from hazelhollow.net.execution_log import ExecutionLog
-from hazelhollow.net.ids_elsewhere import IdsElsewhere
 from hazelhollow.net.open_request import Forwardable, OpenRequest, Responder
 from hazelhollow.net.peer_socket import PeerSocket
 from hazelhollow.net.rate_limited_log import RateLimitedLog
@@ -87,7 +86,6 @@
         self.on_count: Callable[[api.ReplicateCount], None] | None = None
         self.attempts_by_endpoint: Counter[str] | None = None
         self.executions: ExecutionLog | None = None
-        self._ids_elsewhere = IdsElsewhere()
         self.classes_to_run_once = frozenset[str]()
         self.sampled_ids, self.max_samples = list[str](), 0
         self.open_requests: dict[str, OpenRequest] = {}
@@ -112,14 +110,7 @@
             self._stats.reply(request.class_name, "overload")
             responder.send_busy(0)
             return None
-        if self.executions and request.class_name in self.classes_to_run_once:
-            reported = self.executions.read()
-            if reported:
-                self._ids_elsewhere.add(reported, self._scheduler.clock())
-                self._handle(api.ExecutionsReported(reported))
-        if request.id in self.open_requests or self._ids_elsewhere.is_open(
-            request, self._scheduler.clock()
-        ):
+        if request.id in self.open_requests or self._is_open_elsewhere(request):
             # An id stands for one request, whoever sends it, while that is open or runs; an
             # endpoint's answer could not be assigned to either of two. The first one goes on.
             self._stats.duplicate_ids += 1
@@ -136,6 +127,19 @@
         opened.deadline_timer = self._scheduler.at(opened.deadline, self._expire, opened)
         return opened
 
+    def _is_open_elsewhere(self, request: api.RequestArrived) -> bool:
+        """Whether another customer has this id open at the other process; tells it of this one."""
+        if not self.executions:
+            return False
+        reported = self.executions.read()
+        if reported:
+            self._handle(api.ExecutionsReported(reported))
+        if self.executions.is_open_elsewhere(request):
+            return True
+        if request.class_name not in self.classes_to_run_once:
+            self.executions.append_open(request)
+        return False
+
     def concurrent(self) -> int:
         """Returns the number of accepted requests whose answer has not ended yet."""
         opened_requests = self.open_requests.values()
--- a/hazelhollow/net/execution_log.py
+++ b/hazelhollow/net/execution_log.py
@@ -17,13 +17,18 @@
     [EXECUTION, KIND, CUSTOMER, ID, ZONE, CELL, ADDRESS, STARTED_MS]
 
 EXECUTION is WRITER.NUMBER. KIND is `ran`, or `never ran` for an attempt that turned out never to
-have run. A file that cannot be written costs the protection at the other process alone; entries
-wait in memory and are written as soon as it is possible again.
+have run. While another process has written within OTHER_LASTS_S, an entry `open` is also written
+for each request that is safe to repeat, since an id stands for one request at both processes; a
+process announces itself with an entry `started` without an id.
+
+A file that cannot be written costs the protection at the other process alone; entries wait in
+memory and are written as soon as it is possible again.
 """
 
 from __future__ import annotations
 
 import logging
+import math
 import os
 import secrets
 import tempfile
@@ -37,6 +42,7 @@
 import orjson
 
 from hazelhollow.decisions import interface as api
+from hazelhollow.net.ids_elsewhere import IdsElsewhere
 
 SLICE_S = 150.0  # of the monotonic clock, per file
 KEPT_SLICES = 3  # the current one and the two before it
@@ -44,7 +50,9 @@
 MAX_WAITING = 4096  # entries that could not be written yet
 READ_BYTES = 1 << 16
 ENTRY_ITEMS = 8
-RAN, NEVER_RAN = "ran", "never ran"
+RAN, NEVER_RAN, OPEN, STARTED = "ran", "never ran", "open", "started"
+NO_PLACE = ("", 0, "")  # zone, cell and address of an entry that is no execution
+OTHER_LASTS_S = 15.0  # after its last entry; an upgrade takes less
 
 log = logging.getLogger(__name__)
 
@@ -54,6 +62,7 @@
 
     Attributes:
         failures: How many writes have failed.
+        ids_elsewhere: The ids that may be open at the other process.
     """
 
     def __init__(
@@ -73,9 +82,20 @@
         self._read_slice, self._read_fd = self._current_slice() - KEPT_SLICES + 1, -1
         self._unparsed = b""
         self.failures = 0
+        self.ids_elsewhere = IdsElsewhere()
+        self._other_until = -math.inf  # by `monotonic`: until when another process counts as there
 
     # Writing
 
+    def announce(self) -> None:
+        """Writes that this process has started, so that another one shares its open ids."""
+        self._append_entry(STARTED, self._next_id(), None, NO_PLACE)
+
+    def append_open(self, request: api.RequestArrived) -> None:
+        """Writes that a request is open that is safe to repeat, if another process is there."""
+        if self._monotonic() < self._other_until:
+            self._append_entry(OPEN, self._next_id(), request, NO_PLACE)
+
     def append(self, request: api.RequestArrived, execution: api.Execution, age: float) -> None:
         """Writes that an attempt may have run. `age`: seconds since it started."""
         self._append(RAN, request, execution, age)
@@ -88,11 +108,25 @@
         self, kind: str, request: api.RequestArrived, execution: api.Execution, age: float
     ) -> None:
         if not execution.shared_id:
-            self._last_number += 1
-            execution.shared_id = f"{self._writer}.{self._last_number}"
+            execution.shared_id = self._next_id()
+        place = (execution.zone, execution.cell, execution.address)
+        self._append_entry(kind, execution.shared_id, request, place, age)
+
+    def _next_id(self) -> str:
+        self._last_number += 1
+        return f"{self._writer}.{self._last_number}"
+
+    def _append_entry(
+        self,
+        kind: str,
+        entry_id: str,
+        request: api.RequestArrived | None,
+        place: tuple[str, int, str],
+        age: float = 0.0,
+    ) -> None:
         started_ms = round((self._monotonic() - age) * 1000)
-        place = [execution.zone, execution.cell, execution.address]
-        entry = [execution.shared_id, kind, request.customer, request.id, *place, started_ms]
+        names = (request.customer, request.id) if request else ("", "")
+        entry = [entry_id, kind, *names, *place, started_ms]
         self._waiting.append(b"\n" + orjson.dumps(entry) + b"\n")
         self._write_waiting()
 
@@ -191,11 +225,21 @@
             type(number) is int for number in numbers
         ):
             return None
-        age = max(self._monotonic() - started_ms / 1000, 0.0)
+        now = self._monotonic()
+        age = max(now - started_ms / 1000, 0.0)
+        self._other_until = max(self._other_until, now - age + OTHER_LASTS_S)
+        if request_id:
+            self.ids_elsewhere.add(customer, request_id, age, kind == NEVER_RAN, now)
+        if kind in (OPEN, STARTED):
+            return None
         return api.ReportedExecution(
             customer, request_id, shared_id, zone, cell, address, age, kind == NEVER_RAN
         )
 
+    def is_open_elsewhere(self, request: api.RequestArrived) -> bool:
+        """Whether another customer's request may be open under this id at the other process."""
+        return self.ids_elsewhere.is_open(request, self._monotonic())
+
     def _current_slice(self) -> int:
         return int(self._monotonic() // SLICE_S)
 
--- a/hazelhollow/net/ids_elsewhere.py
+++ b/hazelhollow/net/ids_elsewhere.py
@@ -1,8 +1,8 @@
 """The ids that may be open at the other process of an upgrade. No I/O.
 
 An id stands for one request, whoever sends it, while that is open or runs. The other process
-reports the requests that must not run twice (`execution_log`), but not when they end: an id counts
-as open for as long as any request may wait. The same customer may send its id again; the decision
+reports its requests (`execution_log`), but not when they end: an id counts as open for as long as
+any request may wait. The same customer may send its id again; the decision
 engine then knows where it ran.
 """
 
@@ -20,14 +20,12 @@
     def __init__(self) -> None:
         self._ids: dict[str, tuple[str, float]] = {}  # customer, and until when it may be open
 
-    def add(self, reported: tuple[api.ReportedExecution, ...], now: float) -> None:
-        """Notes what the other process has reported."""
-        for execution in reported:
-            if execution.never_ran:
-                self._ids.pop(execution.id, None)
-            elif execution.age < LONGEST_WAIT_S:
-                until = now + LONGEST_WAIT_S - execution.age
-                self._ids[execution.id] = execution.customer, until
+    def add(self, customer: str, request_id: str, age: float, never_ran: bool, now: float) -> None:
+        """Notes a request that the other process has reported, `age` seconds after it began."""
+        if never_ran:
+            self._ids.pop(request_id, None)
+        elif age < LONGEST_WAIT_S:
+            self._ids[request_id] = customer, now + LONGEST_WAIT_S - age
         while self._ids and (len(self._ids) > MAX_IDS or self._oldest_until() <= now):
             del self._ids[next(iter(self._ids))]
 
--- a/hazelhollow/net/service.py
+++ b/hazelhollow/net/service.py
@@ -120,6 +120,8 @@
 
     def start(self) -> None:
         """Starts the tasks, which the scheduler then runs."""
+        if self.engine_driver.executions:
+            self.engine_driver.executions.announce()
         if self.attachment:
             self.attachment.start(self)
         self.scheduler.spawn_supervised(self.discovery_watch.run, "watch")
--- a/tests/net/test_execution_log.py
+++ b/tests/net/test_execution_log.py
@@ -12,10 +12,10 @@
 from hazelhollow.decisions import interface as api
 from hazelhollow.decisions.state import executions as memory_module
 from hazelhollow.decisions.state.executions import ExecutionMemory
-from hazelhollow.net.execution_log import KEPT_SLICES, SLICE_S, ExecutionLog
+from hazelhollow.net.execution_log import KEPT_SLICES, OTHER_LASTS_S, SLICE_S, ExecutionLog
 from hazelhollow.net.ids_elsewhere import IdsElsewhere
 from tests.net.scenario import Stage
-from tests.net.test_scenarios import DO
+from tests.net.test_scenarios import DO, ask
 
 
 class Machine:
@@ -139,29 +139,57 @@
 
 
 @pytest.mark.parametrize("age", [0.1, 2.9, 3.1])
+@pytest.mark.parametrize("command", [DO.format(1), ask(1)], ids=["keyed", "safe"])
 def test_id_that_another_customer_has_open_at_the_other_process_is_an_error(
-    age: float, monkeypatch: pytest.MonkeyPatch
+    command: str, age: float, tmp_path: Path
 ) -> None:
     """The two processes of an upgrade are one limiter; after any deadline the id is free."""
+    clock = Clock(1000.0)
     stage = Stage(hosts=1)
-    command = DO.format(1)
-    there = api.ReportedExecution("00000000000000aa", "r1", "w.1", "a", 0, "", age, False)
-    reports = [(there,)]
-    executions = stage.service.engine_driver.executions
-    assert executions
-    monkeypatch.setattr(executions, "read", lambda: reports.pop() if reports else ())
+    stage.service.engine_driver.executions = ExecutionLog("n0", tmp_path, clock)
+    other = ExecutionLog("n0", tmp_path, clock)
+    there = replace(request(1), customer="00000000000000aa")
+    other.append(there, api.Execution("a", 0, "", 0.0), age)
     stage.play(f"a send {command}")
     if age < 3.0:
-        stage.play(f"a expect -ERR failed\nwait {3.0 - age}\na send {command}")
+        stage.play("a expect -ERR failed")
+        clock.now += 3.0 - age
+        stage.play(f"a send {command}")
     stage.play(f"s1 expect {command}")
     assert stage.service.stats.attempts == 1
 
 
+def test_open_ids_are_shared_while_another_process_is_there(tmp_path: Path) -> None:
+    """Guards against a safe request that is served under an id that is open at the old process."""
+    clock = Clock(1000.0)
+    old, new = ExecutionLog("n0", tmp_path, clock), ExecutionLog("n0", tmp_path, clock)
+    old.append_open(request(1))  # nobody is there who would read it
+    assert new.read() == () and not new.is_open_elsewhere(replace(request(1), customer="d"))
+    new.announce()
+    assert old.read() == ()
+    old.append_open(request(2))
+    assert new.read() == ()
+    assert new.is_open_elsewhere(replace(request(2), customer="d"))
+    assert not new.is_open_elsewhere(request(2))
+    clock.now += OTHER_LASTS_S
+    old.append_open(request(3))
+    assert new.read() == () and not new.is_open_elsewhere(replace(request(3), customer="d"))
+
+
 def test_id_is_free_once_the_other_process_reports_that_it_never_ran() -> None:
     ids = IdsElsewhere()
-    there = api.ReportedExecution("d", "r1", "w.1", "a", 0, "", 0.1, False)
-    ids.add((there,), 10.0)
+    ids.add("d", "r1", 0.1, never_ran=False, now=10.0)
     assert ids.is_open(request(1), 10.0)
     assert not ids.is_open(replace(request(1), customer="d"), 10.0)
-    ids.add((there._replace(never_ran=True),), 10.1)
+    ids.add("d", "r1", 0.2, never_ran=True, now=10.1)
     assert not ids.is_open(request(1), 10.1)
+
+
+class Clock:
+    """The monotonic clock of both processes."""
+
+    def __init__(self, now: float) -> None:
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
