Make answers that wait behind others errors before unreadable bytes end the first one

Callers: with two requests in flight of which the second was answered, unreadable bytes made the first an error and let the second one's value be written behind it. Cause: Session.reject ended the commands one by one, and each error that is written lets the answers behind it be written. Found by a test for a guard that no test had caught. Change: answers of which nothing has been written become errors first.

--- a/hazelhollow/net/answer_slot.py
+++ b/hazelhollow/net/answer_slot.py
@@ -16,6 +16,8 @@
     from hazelhollow.net.open_request import OpenRequest
     from hazelhollow.net.session import Session
 
+FAILURE = b"-ERR failed\r\n"
+
 
 class AnswerSlot:
     """The answer to one command, and the `Responder` of its request.
@@ -65,6 +67,12 @@
         self.session.memory.add(size - self.size)
         self.size = size
 
+    def drop_answer(self) -> None:
+        """Replaces an answer of which nothing has been written by an error."""
+        if self.is_answered() and not self.has_begun:
+            self.answer = FAILURE
+            self.resize(len(FAILURE))
+
     def give_up(self) -> None:
         """Ends a command of a client that has sent something unreadable: it gets an error."""
         opened, self.open_request = self.open_request, None
@@ -72,8 +80,8 @@
             self.session.engine_driver.give_up(opened)
         if self.on_room:
             self.break_value()
-        elif not self.has_begun:  # it may have been answered and written by now
-            self.set_answer(b"-ERR failed\r\n")
+        elif not self.is_answered():
+            self.set_answer(FAILURE)
 
     def send_pong(self) -> None:
         """Answers a `PING`, unless it has been given up meanwhile."""
@@ -110,7 +118,7 @@
         the value gets an error instead.
         """
         if self._value_head:
-            self._end_value(b"-ERR failed\r\n")
+            self._end_value(FAILURE)
         else:
             self.session.end_value()
             self.on_room = None
@@ -128,7 +136,7 @@
 
     def send_failure(self) -> None:
         """Answers `-ERR failed`."""
-        self.set_answer(b"-ERR failed\r\n")
+        self.set_answer(FAILURE)
 
     def send_error(self, why: str) -> None:
         """Answers an invalid command with an error line that gives the reason."""
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -148,7 +148,10 @@
             unexecuted,
             " ".join(slot.open_request.id for slot in self.slots if slot.open_request),
         )
-        for slot in list(self.slots):
+        owed = list(self.slots)
+        for slot in owed:  # first, since each error lets what waits behind it be written
+            slot.drop_answer()
+        for slot in owed:
             slot.give_up()
         for _ in range(unexecuted):
             self._append_error("failed")
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -10,6 +10,7 @@
 from hazelhollow.net.client_memory import REQUEST_BYTES, ClientMemory
 from tests.net.scenario import Stage
 from tests.net.test_scenarios import VALUE, ask
+from tests.net.test_value_forwarding import HEAD, SIZE, VALUE_BYTES, BlockedSocket, read_all
 
 
 def make_memory(calls: list[Callable[[], None]]) -> ClientMemory:
@@ -169,3 +170,57 @@
     stage.service.frontend.set_ready()
     stage.settle()
     assert not stage.service.stats.requests
+
+
+def test_unreadable_bytes_end_queued_commands_and_answers_that_wait_behind_others() -> None:
+    """Each command that was read gets one error, in its order; an answer that waits is no value."""
+    stage = Stage(hosts=1)
+    memory = stage.service.frontend.memory
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}\na send {ask(2)}\ns1.2 expect {ask(2)}")
+    stage.play(f"s1.2 send {VALUE}\na expect nothing")
+    fill(stage, 0.7)
+    held = memory.held_bytes
+    stage._end("a").sendall(stage.bytes_of(ask(3)) + stage.bytes_of(ask(4)) + b"junk\r\n")
+    stage.play("a expect " + r"-ERR failed\r\n" * 4 + "-ERR protocol **\ns1.1 expect closed")
+    assert stage.service.stats.requests == 2 and memory.held_bytes < held
+
+
+def test_answers_written_together_with_the_first_error_are_not_held_again() -> None:
+    stage = Stage(hosts=1)
+    memory = stage.service.frontend.memory
+    stage._end("a").sendall(b"".join(stage.bytes_of(ask(number)) for number in range(6)))
+    stage.settle()  # some are rejected at once, behind those in flight
+    assert stage.service.stats.refused
+    stage.play("a send junk\na expect **\na close\nwait 1.2")
+    assert memory.held_bytes == 0
+
+
+def test_unreadable_bytes_behind_a_value_that_has_begun_leave_it_incomplete() -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
+    stage._end("s1").sendall(HEAD + VALUE_BYTES[:100])
+    assert read_all(stage._end("a"), stage) == b"$%d\r\n%b" % (SIZE, VALUE_BYTES[:100])
+    stage.play("a send junk\ns1.1 expect closed\na expect closed")
+    assert not stage.service.engine_driver.open_requests
+
+
+def test_client_that_leaves_while_it_waits_is_not_woken_later() -> None:
+    stage = Stage(hosts=1)
+    fill(stage, 0.7)
+    stage._end("a").sendall(stage.bytes_of(ask(1)) + stage.bytes_of(ask(2)))
+    stage.settle()
+    memory = stage.service.frontend.memory
+    assert any(memory._waiting.values())
+    stage.play("a close")
+    assert not any(memory._waiting.values())
+
+
+def test_answers_that_the_system_does_not_take_are_counted() -> None:
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
+    (session,) = stage.service.frontend.sessions.sessions
+    session._stream._sock = BlockedSocket(session._stream._sock)  # type: ignore[assignment]
+    value = b"v" * 60_000
+    stage._end("s1").sendall(b"*3\r\n$60000\r\n%b\r\n$-1\r\n$-1\r\n" % value)
+    stage.settle()
+    assert not session.slots and stage.service.frontend.memory.held_bytes >= 58_000
