--- a/hazelhollow/soak/clients.py
+++ b/hazelhollow/soak/clients.py
@@ -60,6 +60,8 @@
         self.is_done = True
 
     def _use_connection(self) -> None:
+        if self._sends_hostile():  # on connections of its own
+            return
         if self._client is None or self._client.closed:
             self._connect()
         client = self._client
@@ -68,8 +70,6 @@
         if self._plan.has("client: unsound") and self._draw.random() < UNSOUND_SHARE:
             self._send_unsound(client)
             return
-        if self._sends_hostile():
-            return
         count = 1
         if self._plan.has("client: pipeline"):
             count = self._draw.choice((1, 1, 2, 8, 64))
