--- a/hazelhollow/net/errors.py
+++ b/hazelhollow/net/errors.py
@@ -2,7 +2,7 @@
 
 | class | caused by | raised by | consequence |
 | --- | --- | --- | --- |
-| `ProtocolError` | the other side | `resp.Parser`, `http1.Parser` | the connection is closed |
+| `ProtocolError` | the other side | all parsers | the connection is closed |
 | `ClientError` | a client | see its subclasses | the client is answered with an error line |
 | `EndpointError` | an endpoint | `attempts.read_answer` | the connection is closed |
 | `DiscoveryError` | discovery | `endpoint_list` | the complete list is requested |
