--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -15,7 +15,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from hazelhollow.net.close_reason import CloseReason
@@ -53,7 +52,6 @@
         "_stream",
         "_reader",
         "_unread_since",
-        "_resumed_at",
         "_final_bytes",
     )
 
@@ -67,21 +65,20 @@
         self._paused_s = 0.0  # for which it has not read since the backlog began
         # When the session stopped reading; None once the socket was found empty again.
         self._unread_since: float | None = None
-        self._resumed_at = math.inf  # when it last began to read again; infinite while paused
         self._final_bytes: int | None = None  # that may still be read; None before FINAL
 
     def set_reading(self, is_reading: bool) -> None:
         """Notes whether the session waits for bytes from now on."""
         now = self._stream.scheduler.clock()
         if not is_reading:
-            self._resumed_at = math.inf
             if self._unread_since is None:
                 self._unread_since = now
             if self.is_reading:
                 self._paused_at = now
         elif not self.is_reading:
-            self._resumed_at = now
             self._paused_s += now - self._paused_at
+            if not self._stream.peek(1):  # nothing has waited
+                self._unread_since = None
         self.is_reading = is_reading
 
     def read(self, session: Session) -> int | CloseReason:
@@ -128,9 +125,6 @@
         arrived_since = self._stream.scheduler.arrived_since
         if self._unread_since is None:
             return arrived_since
-        if arrived_since > self._resumed_at:  # a poll since then has found the socket empty
-            self._unread_since = None
-            return arrived_since
         arrived_since = min(arrived_since, self._unread_since)
         if is_empty:
             self._unread_since = None
