--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,83 +1,88 @@
-"""An upgrade while a request is open, and a bad client that uses the id of that request."""
+"""A client sends many long commands at once and goes; then a server fails its first one."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import socket
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib2"))
-from rig import (  # noqa: E402
-    TROUBLE, CannotRunError, Client, Process, Request, Rig, Run, Server, play, settings,
-)
+from rig import TROUBLE, CannotRunError, Request, Rig, Run, Server, encode, now, play, settings  # noqa: E402
 
-DEADLINE_MS = 3000  # of schedule-read
-LONG_WORK_S = 2.4  # of the usual client's request, within its deadline
-USUAL, BAD = 0x91F03B7C, 0x0BAD0BAD
-ROUNDS, BAD_CONNECTIONS = 1, 8
-LOAD_PER_S = 20
+COMMANDS = 120  # that the client sends at once behind its first one
+BODY_BYTES = 60_000  # PROTOCOL: a value holds 64 KiB at most
+STAYS_S = 0.1  # for which the client stays
+ERROR_AFTER_S = 0.4  # after which the server of its first request answers with an error
+GONE_S = 0.1 + 0.05  # STANDING: 0.1 s after the close; PROTOCOL: every time limit is 50 ms longer
+ROUNDS, BETWEEN_S = 8, 3.0
+CUSTOMER = 0x91F03B7C
+PLAN = {
+    "name": "perus", "per_second": 1000.0, "most_at_once": 4000.0, "ceiling_rate": 0.0, "hard_burst": 0.0,
+    "tolerance": 0.0, "max_out": 0, "excess_cost": 1.2, "over_worth": 0.0, "price": 0.8,
+}
 
 
 def make() -> Rig:
-    return Rig(FOLDER, 1, settings())
+    return Rig(FOLDER, 1, settings(tariffs=[PLAN]))
 
 
-async def load(rig: Rig, client: Client, until: asyncio.Event) -> None:
-    """The usual traffic of other customers."""
-    number = 0
-    while not until.is_set():
-        number += 1
-        rig.spawn(client.ask(Request(number, "schedule-read", "perus", 0x1000 + number % 20, 1500, 1, 1, 0)))
-        await asyncio.sleep(1 / LOAD_PER_S)
+def send_and_go(rig: Rig, number: int) -> tuple[Request, int, float]:
+    """Sends as much as the system takes, and closes; in a thread. Returns when it has closed."""
+    first = Request(number * 1000, "schedule-read", "perus", CUSTOMER, 3000, 1, 1, 0)
+    rest = [
+        encode(*Request(number * 1000 + n, "order-place", "perus", CUSTOMER, 3000, 1, 1, 0,
+                        body="b" * BODY_BYTES, key=f"key{number}-{n}").words)
+        for n in range(1, COMMANDS + 1)
+    ]
+    sock = socket.create_connection(("127.0.0.1", rig.limiters[0].port))
+    first.sent_at = now()
+    sock.sendall(encode(*first.words))
+    sock.setblocking(False)
+    until, sent = first.sent_at + STAYS_S, 0
+    data = memoryview(b"".join(rest) if TROUBLE else b"")
+    while now() < until:
+        try:
+            sent += sock.send(data[sent:]) if sent < len(data) else 0
+        except BlockingIOError:
+            pass
+        time.sleep(0.002)
+    sock.close()
+    return first, sent, now()
 
 
 async def case(rig: Rig) -> bool:
     servers = [Server(rig, f"s-{n}", work=0.02) for n in range(4)]
-    long_ids = {f"5d3a91c4a86c{n:04x}" for n in range(ROUNDS)}
+    seen = set[str]()
 
-    def work_of(run: Run) -> float:
-        return LONG_WORK_S if run.id in long_ids else 0.02
+    def fails(run: Run) -> bool:
+        """The first attempt of each first request is answered with an error, all others are served."""
+        is_first = run.fields["c"] == "schedule-read" and run.id not in seen
+        seen.add(run.id)
+        return is_first
 
     for server in servers:
-        server.work_of = work_of
+        server.fails = fails
+        server.work_of = lambda run: ERROR_AFTER_S if run.fields["c"] == "schedule-read" else 0.02
     await rig.start(servers)
-    limiter, enough = rig.limiters[0], asyncio.Event()
-    rig.spawn(load(rig, Client(rig, limiter), enough))
-    served = 0
-    for round_number in range(ROUNDS):
-        await asyncio.sleep(2.0)
-        usual = Request(0, "schedule-read", "perus", USUAL, DEADLINE_MS, 1, 1, 0,
-                        request_id=f"5d3a91c4a86c{round_number:04x}")
-        asked = rig.spawn(Client(rig, limiter).ask(usual))
-        await asyncio.sleep(0.2)
-        old = limiter.processes[-1]
-        if TROUBLE:
-            await Process(limiter, rig.settings, fresh_tmp=False).ready(6.0)
-            old.signal(signal.SIGTERM)
-        else:
-            await asyncio.sleep(0.3)
-        bad = [Request(0, "schedule-read", "perus", BAD, DEADLINE_MS, 1, 1, 0, request_id=usual.id)
-               for _ in range(BAD_CONNECTIONS)]
-        await asyncio.gather(*(Client(rig, limiter).ask(one) for one in bad[:1]))
-        still_open = not asked.done()
-        await asyncio.gather(*(Client(rig, limiter).ask(one) for one in bad[1:]))
-        await asked
-        rig.record.say(
-            f"round {round_number}: the usual client was {usual.answer}; the bad one, while that was open"
-            f" ({still_open}): {', '.join(one.answer for one in bad)}"
-        )
-        if not still_open:
-            raise CannotRunError("the usual client's request was not open any more")
-        served += sum(one.answer == "served" for one in bad if one.sent_at < usual.answered_at)
-        if TROUBLE and not await old.ended(3.0 + 0.7):
-            old.signal(signal.SIGKILL)
-    enough.set()
-    await rig.finish_tasks()
-    foreign = [run for run in rig.runs if run.id in long_ids and run.customer == f"{BAD:016x}"]
-    rig.record.say(f"{len(foreign)} runs of the bad client's commands; {served} of them were served")
-    return not served
+    late, reached = list[tuple[Run, float]](), 0
+    for number in range(1, ROUNDS + 1):
+        first, sent, closed = await asyncio.get_running_loop().run_in_executor(None, send_and_go, rig, number)
+        rig.record.note(f"client of {first.id}: sent at {first.sent_at:.3f}, {sent} bytes behind it, closed at {closed:.3f}")
+        await asyncio.sleep(BETWEEN_S)
+        ids = {f"{first.id[:8]}{number * 1000 + n:08x}" for n in range(COMMANDS + 1)}
+        reached += any(run.id == first.id and run.at < closed for run in rig.runs)
+        found = [(run, run.at - closed) for run in rig.runs if run.id in ids and run.at - closed > GONE_S]
+        for run, after in found:
+            rig.record.note(f"attempt for {run.id} ({run.fields['c']}) began {after:.3f} s after the close")
+        rig.record.say(f"round {number}: {len(found)} attempts began more than {GONE_S:.2f} s after the close"
+                       f", the latest {max([after for _, after in found], default=0.0):.3f} s")
+        late += found
+    if not reached:
+        raise CannotRunError("no first request reached a server before its client left")
+    return not late
 
 
 play(case, make)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,88 +1,74 @@
-"""A client sends many long commands at once and goes; then a server fails its first one."""
+"""A rolling upgrade while a customer presses against its ceiling."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
+import signal
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib2"))
-from rig import TROUBLE, CannotRunError, Request, Rig, Run, Server, encode, now, play, settings  # noqa: E402
+from rig import TROUBLE, Client, Process, Request, Rig, Server, lowest_ceiling, play, settings  # noqa: E402
 
-COMMANDS = 120  # that the client sends at once behind its first one
-BODY_BYTES = 60_000  # PROTOCOL: a value holds 64 KiB at most
-STAYS_S = 0.1  # for which the client stays
-ERROR_AFTER_S = 0.4  # after which the server of its first request answers with an error
-GONE_S = 0.1 + 0.05  # STANDING: 0.1 s after the close; PROTOCOL: every time limit is 50 ms longer
-ROUNDS, BETWEEN_S = 8, 3.0
 CUSTOMER = 0x91F03B7C
+RATE, BURST, TOLERANCE = 56.0, 84.0, 8.4  # espoo-main, laaja: 2 x 28, 1.5 s worth, a tenth
+SLACK_S = 0.15  # PROTOCOL: the slack is wider by what the ceiling's rate gives in 150 ms
+SPREAD = 2
+PER_SECOND, UNITS, WAIT_MS = 30, 2, 1500  # of the customer at each limiter: 60 units a second
+STEADY_S, BETWEEN_S, END_S = 8.0, 3.0, 3.0
+
 PLAN = {
-    "name": "perus", "per_second": 1000.0, "most_at_once": 4000.0, "ceiling_rate": 0.0, "hard_burst": 0.0,
-    "tolerance": 0.0, "max_out": 0, "excess_cost": 1.2, "over_worth": 0.0, "price": 0.8,
+    "name": "laaja", "per_second": 0.0, "most_at_once": 0.0, "ceiling_rate": RATE, "hard_burst": BURST,
+    "tolerance": TOLERANCE, "max_out": 16, "excess_cost": 1.2, "over_worth": 0.0, "price": 1.3,
 }
 
 
 def make() -> Rig:
-    return Rig(FOLDER, 1, settings(tariffs=[PLAN]))
+    return Rig(FOLDER, SPREAD, settings(tariffs=[PLAN]))
 
 
-def send_and_go(rig: Rig, number: int) -> tuple[Request, int, float]:
-    """Sends as much as the system takes, and closes; in a thread. Returns when it has closed."""
-    first = Request(number * 1000, "schedule-read", "perus", CUSTOMER, 3000, 1, 1, 0)
-    rest = [
-        encode(*Request(number * 1000 + n, "order-place", "perus", CUSTOMER, 3000, 1, 1, 0,
-                        body="b" * BODY_BYTES, key=f"key{number}-{n}").words)
-        for n in range(1, COMMANDS + 1)
-    ]
-    sock = socket.create_connection(("127.0.0.1", rig.limiters[0].port))
-    first.sent_at = now()
-    sock.sendall(encode(*first.words))
-    sock.setblocking(False)
-    until, sent = first.sent_at + STAYS_S, 0
-    data = memoryview(b"".join(rest) if TROUBLE else b"")
-    while now() < until:
-        try:
-            sent += sock.send(data[sent:]) if sent < len(data) else 0
-        except BlockingIOError:
-            pass
-        time.sleep(0.002)
-    sock.close()
-    return first, sent, now()
+async def press(rig: Rig, client: Client, offset: int, until: asyncio.Event) -> None:
+    """The customer's requests at one limiter: evenly, whatever is answered."""
+    loop, number = asyncio.get_running_loop(), offset
+    due = loop.time()
+    while not until.is_set():
+        number += 1
+        request = Request(number, "schedule-read", "laaja", CUSTOMER, WAIT_MS, UNITS, SPREAD, 0)
+        rig.spawn(client.ask(request))
+        due += 1 / PER_SECOND
+        await asyncio.sleep(max(due - loop.time(), 0))
 
 
-async def case(rig: Rig) -> bool:
-    servers = [Server(rig, f"s-{n}", work=0.02) for n in range(4)]
-    seen = set[str]()
+async def upgrade(rig: Rig, number: int) -> None:
+    """DAYS: the new process starts beside the old one; at its yes the old one gets SIGTERM."""
+    limiter = rig.limiters[number]
+    old = limiter.processes[-1]
+    new = Process(limiter, rig.settings, fresh_tmp=False)
+    await new.ready(6.0)
+    old.signal(signal.SIGTERM)
+    if not await old.ended(3.0 + 0.7):
+        old.signal(signal.SIGKILL)
 
-    def fails(run: Run) -> bool:
-        """The first attempt of each first request is answered with an error, all others are served."""
-        is_first = run.fields["c"] == "schedule-read" and run.id not in seen
-        seen.add(run.id)
-        return is_first
 
-    for server in servers:
-        server.fails = fails
-        server.work_of = lambda run: ERROR_AFTER_S if run.fields["c"] == "schedule-read" else 0.02
-    await rig.start(servers)
-    late, reached = list[tuple[Run, float]](), 0
-    for number in range(1, ROUNDS + 1):
-        first, sent, closed = await asyncio.get_running_loop().run_in_executor(None, send_and_go, rig, number)
-        rig.record.note(f"client of {first.id}: sent at {first.sent_at:.3f}, {sent} bytes behind it, closed at {closed:.3f}")
+async def case(rig: Rig) -> bool:
+    await rig.start([Server(rig, f"s-{n}") for n in range(4)])
+    enough = asyncio.Event()
+    for limiter in rig.limiters:
+        rig.spawn(press(rig, Client(rig, limiter), limiter.number * 100_000, enough))
+    await asyncio.sleep(STEADY_S)
+    for number in range(SPREAD):
+        if TROUBLE:
+            await upgrade(rig, number)
         await asyncio.sleep(BETWEEN_S)
-        ids = {f"{first.id[:8]}{number * 1000 + n:08x}" for n in range(COMMANDS + 1)}
-        reached += any(run.id == first.id and run.at < closed for run in rig.runs)
-        found = [(run, run.at - closed) for run in rig.runs if run.id in ids and run.at - closed > GONE_S]
-        for run, after in found:
-            rig.record.note(f"attempt for {run.id} ({run.fields['c']}) began {after:.3f} s after the close")
-        rig.record.say(f"round {number}: {len(found)} attempts began more than {GONE_S:.2f} s after the close"
-                       f", the latest {max([after for _, after in found], default=0.0):.3f} s")
-        late += found
-    if not reached:
-        raise CannotRunError("no first request reached a server before its client left")
-    return not late
+    await asyncio.sleep(END_S)
+    enough.set()
+    await rig.finish_tasks()
+    lowest, at = lowest_ceiling(rig.runs, f"{CUSTOMER:016x}", RATE, BURST)
+    allowed = -(TOLERANCE + RATE * SLACK_S)
+    rig.record.say(f"{len(rig.runs)} attempts; the ceiling's store was at {lowest:.1f} at {at:.2f} s")
+    rig.record.say(f"the rule allows {allowed:.1f}: {'held' if lowest >= allowed else 'BROKEN'}")
+    return lowest >= allowed
 
 
 play(case, make)
--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -275,6 +275,7 @@
     def __init__(self, limiter: Limiter, settings: dict[str, Any], fresh_tmp: bool = True) -> None:
         rig = self.rig = limiter.rig
         self.limiter, self.operator_port = limiter, free_port()
+        self.told_to_end = False
         if fresh_tmp:
             shutil.rmtree(limiter.tmp, ignore_errors=True)
         limiter.tmp.mkdir(exist_ok=True)
@@ -309,6 +310,7 @@
 
     def signal(self, number: int) -> None:
         self.rig.record.say(f"process {self.label} gets {signal.Signals(number).name}")
+        self.told_to_end = True
         self.process.send_signal(number)
 
     async def call(self, text: str) -> str:
@@ -420,6 +422,12 @@
         while self._tasks:
             await asyncio.wait(list(self._tasks))
 
+    def check_processes(self) -> None:
+        """Raises CannotRunError if a limiter has ended that the case did not tell to end."""
+        for process in self.processes:
+            if process.process.poll() is not None and not process.told_to_end:
+                raise CannotRunError(f"process {process.label} has ended: {process.process.returncode}")
+
     async def close_connections(self) -> None:
         """Closes the stand-ins' own connections, so that the event loop can end."""
         for writer in self.writers:
@@ -493,17 +501,25 @@
     return base | changes
 
 
-def play(case: Callable[[], Any], rig_of: Callable[[], Rig], seconds: float = 100.0) -> None:
+def _end_early(number: int, _frame: Any) -> None:
+    raise CannotRunError(f"the case was told to end ({signal.Signals(number).name})")
+
+
+def play(case: Callable[[Rig], Any], rig_of: Callable[[], Rig], seconds: float = 100.0) -> None:
     """Plays a case and exits with its status; `case` returns whether the rule held."""
     rig = None
     status = COULD_NOT_RUN
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, _end_early)
     try:
         rig = rig_of()
 
         async def run() -> bool:
             assert rig
             try:
-                return await asyncio.wait_for(case(rig), seconds)
+                held = await asyncio.wait_for(case(rig), seconds)
+                rig.check_processes()
+                return held
             finally:
                 await rig.close_connections()
 
