Review case 6: the record is written as it happens, and a failure of the rig exits with 2

Cause: record.txt was written at the end only, by the rig, and an error of a stand-in could have passed for a broken rule.

Change: the case names its record, which is written line by line. Errors of the stand-ins, and limiters that end by themselves, exit with 2; the rig measures its own lateness.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"  # written by the rig, line by line
 sys.path.insert(0, str(FOLDER.parent / "lib2"))
 from rig import (  # noqa: E402
     TROUBLE, CannotRunError, Request, Rig, Run, Server, encode, now, play, read_answer, settings,
@@ -43,7 +44,7 @@
 
 
 def make() -> Rig:
-    return Rig(FOLDER, 1, settings())
+    return Rig(RECORD, 1, settings())
 
 
 async def send_at_once(rig: Rig, number: int) -> list[Request]:
@@ -70,6 +71,8 @@
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             count = len(error.partial) if isinstance(error, asyncio.IncompleteReadError) else 0
             rig.record.note(f"client {one.id}: the connection has ended, {count} bytes of a value were here")
+            for rest in requests[requests.index(one) :]:
+                rest.answer = "closed"
             break
         rig.record.note(f"client {one.id}: {one.answer}, {len(one.text)} bytes")
     writer.close()
@@ -86,7 +89,7 @@
         runs = {run.id for run in rig.runs}
         if first.id not in runs:
             raise CannotRunError("the request with the long value did not reach a server")
-        unanswered = [one for one in behind if one.answer == "none"]
+        unanswered = [one for one in behind if one.answer in ("none", "closed")]
         has_run = [one.id for one in unanswered if one.id in runs]
         rig.record.say(f"round {number}: the long value: {'whole' if first.answer == 'served' else 'broken off'}; of"
                        f" {len(behind)} requests behind it {len(unanswered)} have no answer, {len(has_run)} of these were run")
--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -39,21 +39,23 @@
 
 
 class Record:
-    """What was sent, answered and run: one line each, written to record.txt at the end."""
+    """What was sent, answered and run: one line each, written as it happens to the case's record.txt."""
 
-    def __init__(self, folder: Path) -> None:
-        self.path, self.lines = folder / "record.txt", list[str]()
-        self.path.unlink(missing_ok=True)
+    def __init__(self, path: Path) -> None:
+        """Begins the file `path` anew."""
+        self._file = path.open("w", buffering=1)
 
     def note(self, what: str, at: float | None = None) -> None:
-        self.lines.append(f"{now() if at is None else at:9.3f} {what}")
+        """Writes a line with the time of now, or of `at`."""
+        self._file.write(f"{now() if at is None else at:9.3f} {what}\n")
 
     def say(self, what: str) -> None:
+        """Writes a line, and prints it."""
         self.note(what)
-        print(self.lines[-1], flush=True)
+        print(f"{now():9.3f} {what}", flush=True)
 
-    def write(self) -> None:
-        self.path.write_text("\n".join(self.lines) + "\n")
+    def close(self) -> None:
+        self._file.close()
 
 
 _given_ports: set[int] = set()
@@ -120,6 +122,7 @@
         self.words = [*verb, self.customer, self.id, fields, *([] if body is None else [body])]
         self.sent_at = self.answered_at = 0.0
         self.answer, self.text = "none", b""
+        self.sent = 0  # how often
 
     def fields(self) -> dict[str, str]:
         return dict(item.split("=", 1) for item in self.words[3].split(","))
@@ -170,6 +173,8 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
+        except Exception as error:
+            self.rig.faults.append(f"server {self.name}: {error!r}")
         finally:
             writer.close()
 
@@ -244,6 +249,8 @@
                 self.rig.record.note(f"discovery has answered {target} with index {self.index}")
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             self.rig.record.note("discovery: a connection has ended")
+        except Exception as error:
+            self.rig.faults.append(f"discovery: {error!r}")
         finally:
             writer.close()
 
@@ -363,6 +370,7 @@
                 request.answer = "unreachable"
                 record.note(f"client {request.id}: limiter {self.limiter.name} unreachable")
                 return
+            request.sent += 1
             record.note(f"client sends {self.limiter.name} {' '.join(request.words[:4])}")
             writer.write(encode(*request.words))
             try:
@@ -388,8 +396,11 @@
 class Rig:
     """All parts of one case."""
 
-    def __init__(self, folder: Path, limiters: int, settings: dict[str, Any]) -> None:
-        self.record = Record(folder)
+    def __init__(self, record: Path, limiters: int, settings: dict[str, Any]) -> None:
+        """`record`: the file record.txt of the case."""
+        self.record = Record(record)
+        self.faults = list[str]()  # errors of the rig itself, with which nothing can be judged
+        self.lateness = 0.0  # the most by which the rig's own loop was late, in seconds
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.settings = settings | {"balancers": limiters}
         self.limits: dict[str, Any] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
@@ -415,15 +426,29 @@
     def spawn(self, coroutine: Any) -> asyncio.Task[Any]:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
         return task
 
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            self.faults.append(f"a task of the rig: {task.exception()!r}")
+
+    async def measure_lateness(self) -> None:
+        """Notes by how much the rig's own loop is late: its times are too late by as much at most."""
+        while True:
+            due = now() + 0.01
+            await asyncio.sleep(0.01)
+            self.lateness = max(self.lateness, now() - due)
+
     async def finish_tasks(self) -> None:
         while self._tasks:
             await asyncio.wait(list(self._tasks))
 
-    def check_processes(self) -> None:
-        """Raises CannotRunError if a limiter has ended that the case did not tell to end."""
+    def check(self) -> None:
+        """Raises CannotRunError if the rig has failed, or a limiter has ended by itself."""
+        if self.faults:
+            raise CannotRunError(f"the rig has failed {len(self.faults)} times: {self.faults[0]}")
         for process in self.processes:
             if process.process.poll() is not None and not process.told_to_end:
                 raise CannotRunError(f"process {process.label} has ended: {process.process.returncode}")
@@ -516,21 +541,26 @@
 
         async def run() -> bool:
             assert rig
+            lateness = asyncio.ensure_future(rig.measure_lateness())
             try:
                 held = await asyncio.wait_for(case(rig), seconds)
-                rig.check_processes()
+                rig.check()
+                rig.record.note(f"the rig's own loop was {rig.lateness:.3f} s late at most")
                 return held
             finally:
+                lateness.cancel()
                 await rig.close_connections()
 
         status = HELD if asyncio.run(run()) else BROKEN
     except Exception as error:  # status 1 is kept for a broken rule
         print(f"the case could not run: {error!r}", flush=True)
+        if rig:
+            rig.record.note(f"the case could not run: {error!r}")
         if not isinstance(error, (CannotRunError, asyncio.TimeoutError, OSError)):
             traceback.print_exc()
     finally:
         if rig:
             rig.stop()
             rig.record.note(f"exit status {status}, TROUBLE={int(TROUBLE)}")
-            rig.record.write()
+            rig.record.close()
     sys.exit(status)
