Review case 9: names its record

Cause: the record was named by the rig only.

Change: the case names its record, which is written line by line.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"  # written by the rig, line by line
 sys.path.insert(0, str(FOLDER.parent / "lib2"))
 from rig import TROUBLE, Client, Process, Request, Rig, Server, lowest_ceiling, play, settings  # noqa: E402
 
@@ -25,7 +26,7 @@
 
 
 def make() -> Rig:
-    return Rig(FOLDER, SPREAD, settings(tariffs=[PLAN]))
+    return Rig(RECORD, SPREAD, settings(tariffs=[PLAN]))
 
 
 async def press(rig: Rig, client: Client, offset: int, until: asyncio.Event) -> None:
