Review: a case exits with 2 if another program answers for a limiter that has ended

Cause: with the operator port taken by a program that says yes, case 9 went on without one limiter and exited with 0.

Change: the rig looks whether the process still runs when it says yes, and before it gets a signal.

--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -316,6 +316,8 @@
         rig.record.say(f"process {self.label} started")
 
     def signal(self, number: int) -> None:
+        if self.process.poll() is not None:
+            raise CannotRunError(f"process {self.label} has ended before it was told to: {self.process.returncode}")
         self.rig.record.say(f"process {self.label} gets {signal.Signals(number).name}")
         self.told_to_end = True
         self.process.send_signal(number)
@@ -338,6 +340,8 @@
             if now() > until or self.process.poll() is not None:
                 raise CannotRunError(f"process {self.label} is not ready")
             await asyncio.sleep(0.02)
+        if self.process.poll() is not None:
+            raise CannotRunError(f"process {self.label} has ended, and another program answers for it")
         self.rig.record.say(f"process {self.label} says yes")
 
     async def ended(self, seconds: float) -> bool:
