A value with requests read behind it goes out once it is whole

Cause: the first byte of a value was written as soon as it came, whatever had been read behind it, and what arrived meanwhile was read and forwarded; RESP's only sign for an incomplete value is the end of the connection, which takes these answers along.

A value is now forwarded only if nothing that was read stands behind it, else it is collected within its deadline and the memory of pipelining clients; behind a forwarded one nothing is read, and what is unread is judged by looking at it. A broken value ends its connection in order, so that earlier answers arrive. Why it works: the connection is ended for a value in one place, after a byte of it was written; nothing read stood behind it then, and nothing was read since.

Cost: a value slower than its deadline with requests behind it fails at its deadline.

--- a/hazelhollow/net/answer_slot.py
+++ b/hazelhollow/net/answer_slot.py
@@ -28,6 +28,7 @@
         size: Bytes held in memory: first those that the command and its answer may need, later
             those of the answer.
         has_begun: Whether the answer, or a part of it, was written.
+        written: How many bytes of `answer` were written.
         on_room: While a long value is being forwarded: called when the connection takes more of it;
             else None.
     """
@@ -38,18 +39,20 @@
         "open_request",
         "size",
         "has_begun",
+        "written",
         "on_room",
         "_value_head",
     )
 
     def __init__(self, session: Session) -> None:
         self.session, self.size, self.has_begun = session, 0, False
-        self.answer: bytes | None = None
+        self.answer: bytes | bytearray | None = None
+        self.written = 0
         self.on_room: Callable[[], object] | None = None
         self._value_head = b""  # of a forwarded value, until it is written
         self.open_request: OpenRequest | None = None
 
-    def set_answer(self, answer: bytes) -> None:
+    def set_answer(self, answer: bytes | bytearray) -> None:
         """Stores the answer; the session writes it once all earlier answers have been written."""
         # The open request refers back to this slot. Dropping the reference breaks the cycle, which
         # would otherwise keep both, the session and its buffers in memory until the cycle collector
@@ -58,6 +61,13 @@
         self.resize(len(answer))
         self.session.write_answers()
 
+    def next_piece(self, max_bytes: int) -> bytes | bytearray | memoryview:
+        """Returns the next bytes of the answer to write."""
+        assert self.answer is not None
+        if not self.written and len(self.answer) <= max_bytes:
+            return self.answer
+        return memoryview(self.answer)[self.written : self.written + max_bytes]
+
     def is_answered(self) -> bool:
         """Whether the answer is available."""
         return self.answer is not None
@@ -88,9 +98,31 @@
         if not self.is_answered():
             self.set_answer(b"+PONG\r\n")
 
-    def send_value(self, value: bytes) -> None:
+    def send_value(self, value: bytes | bytearray) -> None:
         """Answers with the value that the endpoint returned."""
-        self.set_answer(resp.encode_bulk_string(value))
+        if isinstance(value, bytearray):
+            resp.frame_bulk_string(value)
+            self.set_answer(value)
+        else:
+            self.set_answer(resp.encode_bulk_string(value))
+
+    def has_requests_behind(self) -> bool:
+        """Whether commands that were read wait for their answers behind this one."""
+        return self.session.has_commands_behind(self)
+
+    def reserve_memory(self, size: int, on_room: Callable[[], object]) -> bool:
+        """Reserves memory for a collected value, or makes `on_room` wait for it."""
+        memory = self.session.memory
+        if not memory.has_room_for_value(size):
+            memory.wait_for_room(on_room, is_pipelined=True)
+            return False
+        self.resize(self.size + size)
+        return True
+
+    def release_memory(self, size: int, on_room: Callable[[], object]) -> None:
+        """Withdraws `reserve_memory`."""
+        self.session.memory.stop_waiting(on_room)
+        self.resize(self.size - size)
 
     def start_value(self, length: int, on_room: Callable[[], object]) -> None:
         """Begins a value that is written piece by piece, once this slot is the first."""
--- a/hazelhollow/net/attempts.py
+++ b/hazelhollow/net/attempts.py
@@ -3,8 +3,9 @@
 `connection_pool.ConnectionPool.start` creates an attempt and assigns it to a connection; it ends
 with one `AttemptResult`. This module owns the attempt's record and the meaning of error lines.
 
-A value of up to `MAX_COLLECTED_BYTES` is part of the result. A longer one is forwarded to the
-attempt's `ValueSink` while it arrives (see docs/design/streaming.md).
+A value of up to `MAX_COLLECTED_BYTES` is part of the result. What becomes of a longer one is
+decided by the attempt's `ValueSink` when its first byte arrives (`ValuePath`; see
+docs/design/streaming.md and docs/design/pipelined-requests.md).
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import TYPE_CHECKING, Protocol
 
 from hazelhollow.decisions.interface import Execution, Status
@@ -32,13 +34,14 @@
 
     Attributes:
         status: The status; `close_reason.attempt_status` determines it if no answer arrived.
-        value: The value for the client, with status "ok"; None if it was forwarded to the sink.
+        value: The value for the client, with status "ok"; None if it was forwarded to the sink. A
+            long value is a bytearray, which the receiver owns.
         report: The endpoint's load report, not parsed yet.
         figures: The units that the request used according to the endpoint, not parsed yet.
     """
 
     status: Status
-    value: bytes | None = b""
+    value: bytes | bytearray | None = b""
     report: bytes = b""
     figures: bytes = b""
 
@@ -57,13 +60,22 @@
     return AttemptResult("error", report=report)
 
 
+class ValuePath(Enum):
+    """What becomes of a long value whose first byte has arrived."""
+
+    FORWARD = auto()  # it is written to the sink while it arrives
+    COLLECT = auto()  # it becomes a part of the result; the memory for it is reserved
+    WAIT = auto()  # as COLLECT, but without memory; the sink wakes the attempt's connection
+    DROP = auto()  # it is not wanted any more
+
+
 class ValueSink(Protocol):
     """Takes a long value while it arrives. `net/value_forwarding.py` passes it on to a client."""
 
-    def start(self, length: int) -> bool:
-        """Announces a value of `length` bytes, of which the first are here.
+    def start(self, length: int) -> ValuePath:
+        """Decides about a value of `length` bytes, of which the first are here.
 
-        Returns whether it is still wanted.
+        After WAIT it is called again when the connection has been woken.
         """
 
     def room(self) -> int:
@@ -91,6 +103,8 @@
         execution: Where the request runs, if it must not run twice; else None.
         forwarding_since: When the value began to be forwarded (clock); 0 if it has not.
         connection: The connection that carries the attempt; None if it never got one.
+        collects_value: Whether a long value is collected, or waits for the memory for it.
+        reserved_bytes: The memory that is reserved for that value.
         started_at: When the attempt was started, by the scheduler's clock.
         timeout_timer: Aborts the attempt at its own timeout; None if that is not before the
             request's deadline.
@@ -106,6 +120,8 @@
         "execution",
         "forwarding_since",
         "connection",
+        "collects_value",
+        "reserved_bytes",
         "started_at",
         "timeout_timer",
         "send_by_timer",
@@ -126,6 +142,8 @@
         self.execution: Execution | None = None
         self.forwarding_since = 0.0
         self.connection: PooledConnection | None = None
+        self.collects_value = False
+        self.reserved_bytes = 0
         self.timeout_timer: Timer | None = None
         self.send_by_timer: Timer | None = None
 
--- a/hazelhollow/net/client_memory.py
+++ b/hazelhollow/net/client_memory.py
@@ -9,6 +9,7 @@
 | --- | --- | --- |
 | bytes read and not executed | they are read | the command is executed |
 | `REQUEST_BYTES` and the command | a request is executed | its answer is known |
+| a long value | its first byte is here, and requests wait behind it | its answer is known |
 | the answer | it is known | it is in the connection's send buffer |
 | the send buffer beyond its initial size | it grows | the operating system has taken all of it |
 
@@ -19,6 +20,8 @@
 
 from collections.abc import Callable
 
+Wake = Callable[[], object]
+
 REQUEST_BYTES = 65 * 1024  # the largest answer that is collected, and the records of its request
 
 
@@ -47,7 +50,7 @@
         self._at_end_of_turn = at_end_of_turn
         self.held_bytes = 0
         # The calls that wake clients, by whether these have other requests, the oldest first.
-        self._waiting: dict[bool, dict[Callable[[], None], None]] = {False: {}, True: {}}
+        self._waiting: dict[bool, dict[Wake, None]] = {False: {}, True: {}}
         self._is_wake_due = False
 
     def add(self, count: int) -> None:
@@ -64,12 +67,19 @@
         """
         return self._room(is_pipelined) > 0 or not self.held_bytes
 
-    def wait_for_room(self, wake: Callable[[], None], is_pipelined: bool) -> None:
+    def has_room_for_value(self, size: int) -> bool:
+        """Whether a long value of that many bytes may be collected.
+
+        Its client has other requests, or it would be forwarded.
+        """
+        return self.held_bytes + size <= self._max_pipelined_bytes
+
+    def wait_for_room(self, wake: Wake, is_pipelined: bool) -> None:
         """Calls `wake` once, when there may be room; the caller then has to ask again."""
         self.stop_waiting(wake)
         self._waiting[is_pipelined][wake] = None
 
-    def stop_waiting(self, wake: Callable[[], None]) -> None:
+    def stop_waiting(self, wake: Wake) -> None:
         """Withdraws `wait_for_room`."""
         for waiting in self._waiting.values():
             waiting.pop(wake, None)
--- a/hazelhollow/net/close_reason.py
+++ b/hazelhollow/net/close_reason.py
@@ -19,6 +19,7 @@
     MALFORMED = auto()  # the other side violated the protocol
     TIMED_OUT = auto()  # no answer within the timeout
     CANCELLED = auto()  # the answer is no longer needed
+    INCOMPLETE = auto()  # a value that has begun cannot be completed
     STALLED = auto()  # the other side stopped reading or sending in mid-transfer
     UNLISTED = auto()  # the endpoint drains, is gone, or was disabled by an operator
     IDLE = auto()  # unused for too long
--- a/hazelhollow/net/command_reader.py
+++ b/hazelhollow/net/command_reader.py
@@ -13,7 +13,7 @@
 | PARTIAL | `awaiting_since` is the time of that part | the rest of the command: BETWEEN |
 | STOPPED | `stopped` | |
 
-After `session.COMMAND_TIMEOUT_S` in FIRST or PARTIAL the session is closed if nothing has arrived;
+After `COMMAND_TIMEOUT_S` in FIRST or PARTIAL the session is closed if nothing has arrived;
 an incomplete command is rejected. Input that violates the protocol leads to STOPPED from every
 state.
 """
@@ -36,6 +36,7 @@
 
 MAX_PIPELINED = 64  # unanswered commands of one connection; at this number no more are read
 MAX_COMMANDS_PER_TURN = 16  # of one connection, before other connections are served
+COMMAND_TIMEOUT_S = 2.0  # for the rest of a command, and for the first one of a connection
 MAX_BAD_COMMANDS = 16  # in a row, after which the connection is closed
 REQUEST_COMMANDS = (b"Q.ASK", b"Q.DO")
 QUEUED_COMMAND_BYTES = 256  # of memory, beside its arguments
@@ -55,6 +56,20 @@
     size: int
 
 
+class ExaminedInput(NamedTuple):
+    """What unread bytes are.
+
+    Attributes:
+        error: Why they can be no commands; None if they may be.
+        commands: How many commands they complete.
+        has_partial_command: Whether they end in the middle of a command.
+    """
+
+    error: str | None
+    commands: int
+    has_partial_command: bool
+
+
 class CommandReader:
     """Reads the commands of one session.
 
@@ -132,14 +147,22 @@
 
     def error_in(self, data: bytes) -> str | None:
         """Returns why bytes that follow those read so far are no command; None if they may be."""
-        parser = self._parser.copy()
+        return self.examine(data).error
+
+    def examine(self, data: bytes) -> ExaminedInput:
+        """Returns what bytes that follow those read so far would be, without reading them."""
+        parser, commands = self._parser.copy(), 0
         try:
             parser.feed(data)
             while parser.next() is not None:
-                pass
+                commands += 1
         except ProtocolError as error:
-            return str(error)
-        return None
+            return ExaminedInput(str(error), commands, has_partial_command=False)
+        return ExaminedInput(None, commands, not parser.is_between_commands())
+
+    def parser_room(self) -> int:
+        """Returns how many bytes the parser can take."""
+        return self._parser.room()
 
     def stop(self) -> int:
         """Stops reading; returns how many commands were read and not executed."""
--- a/hazelhollow/net/connection_pool.py
+++ b/hazelhollow/net/connection_pool.py
@@ -24,6 +24,7 @@
     MAX_COLLECTED_BYTES,
     Attempt,
     AttemptResult,
+    ValuePath,
     ValueSink,
     read_error,
 )
@@ -294,9 +295,9 @@
         return sock.close_reason
 
     def _room(self, connection: PooledConnection) -> int:
-        """Returns how many bytes may be read now; 0 while idle or while the sink takes none."""
+        """Returns how many bytes may be read now; 0 while idle or while nothing can take them."""
         attempt = connection.attempt
-        if attempt is None:
+        if attempt is None or connection.waits_for_memory:
             return 0
         if not connection.is_forwarding or attempt.sink is None:
             return stream.READ_CHUNK_BYTES
@@ -320,7 +321,9 @@
         """
         while connection.attempt is not None:
             if connection.announced_length and connection.parser.has_value_data():
-                self._begin_forwarding(connection, connection.attempt)
+                self._begin_value(connection, connection.attempt)
+                if connection.waits_for_memory:
+                    return
                 continue
             event = connection.parser.next_event(self._max_data(connection))
             if event is None:
@@ -355,7 +358,7 @@
             self._finish_attempt(connection, _result(connection, event))
 
     def _start_value(self, connection: PooledConnection, attempt: Attempt, length: int) -> None:
-        """Collects a short value, or notes that a long one is to be forwarded."""
+        """Collects a short value, or notes that a long one is announced."""
         _raise_if_unsent(connection)
         if length <= MAX_COLLECTED_BYTES:
             connection.collected = bytearray()
@@ -364,16 +367,25 @@
         else:
             connection.announced_length = length
 
-    def _begin_forwarding(self, connection: PooledConnection, attempt: Attempt) -> None:
-        """Forwards a long value from now on: its first byte is here.
+    def _begin_value(self, connection: PooledConnection, attempt: Attempt) -> None:
+        """Forwards or collects a long value from now on: its first byte is here.
 
         Its head alone promises nothing: until the first byte, timeouts and other attempts go on.
+        They also go on while the value is collected.
         """
         assert attempt.sink
-        length, connection.announced_length = connection.announced_length, 0
-        attempt.forwarding_since = self._scheduler.clock()
-        attempt.cancel_timers()
-        if not attempt.sink.start(length):
+        path = attempt.sink.start(connection.announced_length)
+        connection.waits_for_memory = path is ValuePath.WAIT
+        if path is ValuePath.WAIT:
+            connection.partial_answer_at = 0.0  # the silence is this process's
+            return
+        connection.announced_length = 0
+        if path is ValuePath.FORWARD:
+            attempt.forwarding_since = self._scheduler.clock()
+            attempt.cancel_timers()
+        elif path is ValuePath.COLLECT:
+            connection.collected = bytearray()
+        else:
             self.close_connection(connection, CloseReason.CANCELLED)
 
     def _finish_attempt(self, connection: PooledConnection, result: AttemptResult) -> None:
@@ -432,5 +444,7 @@
 
 def _result(connection: PooledConnection, event: AnswerCompleted) -> AttemptResult:
     """Returns the result of a complete answer; a forwarded value is not part of it."""
-    value = None if connection.collected is None else bytes(connection.collected)
+    value: bytes | bytearray | None = connection.collected
+    if value is not None and len(value) <= MAX_COLLECTED_BYTES:
+        value = bytes(value)
     return AttemptResult("ok", value, event.report, event.figures)
--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -34,7 +34,7 @@
 from hazelhollow.net.rate_limited_log import RateLimitedLog
 from hazelhollow.net.scheduler import Scheduler
 from hazelhollow.net.stats import Stats
-from hazelhollow.net.value_forwarding import ForwardedValue
+from hazelhollow.net.value_forwarding import LongValue, release_collected
 from hazelhollow.simulator.endpoint_reports import read_cost, read_report
 from hazelhollow.simulator.errors import WireError
 
@@ -165,6 +165,7 @@
             self._handle(api.ClientDisconnected(opened.id), opened)
             for attempt in opened.attempts:
                 self._pool.withdraw(attempt, CloseReason.CANCELLED)
+            self._abort_collected_values(opened)
 
     def give_up(self, opened: OpenRequest) -> None:
         """Ends a request whose client has sent something unreadable, and all its attempts.
@@ -207,6 +208,7 @@
     def _attempt_ended(self, opened: OpenRequest, number: int, result: AttemptResult) -> None:
         attempt, now = opened.attempts[number], self._scheduler.clock()
         opened.attempts_out -= 1
+        release_collected(opened, attempt)
         self._stats.outcomes[result.status] += 1
         if result.status in NEVER_RAN:
             self._retract_execution(opened, attempt.execution, attempt.started_at)
@@ -237,13 +239,15 @@
 
     # Long values
 
-    def value_started(self, opened: OpenRequest, number: int, length: int) -> bool:
-        """Begins to forward a long value as the final answer; returns whether it is wanted.
+    def value_collected(self) -> None:
+        """Counts a long value that is collected, since other requests wait behind it."""
+        self._stats.collected += 1
+
+    def begin_forwarding(self, opened: OpenRequest, number: int, length: int) -> None:
+        """Begins to forward a long value as the final answer.
 
         From here on the request has this attempt alone.
         """
-        if opened.answered:
-            return False
         attempt = opened.attempts[number]
         self._set_answered(opened)
         opened.forwarding = attempt
@@ -255,7 +259,6 @@
                 self._pool.abort(other, CloseReason.CANCELLED)
         opened.responder.start_value(length, attempt.wake_connection)
         self._handle(api.AttemptStarted(opened.id, number, attempt.endpoint), opened)
-        return True
 
     def _end_forwarding(self, opened: OpenRequest, status: api.Status) -> None:
         """Ends a forwarded value: completely, or so that the client can tell that it is not."""
@@ -415,7 +418,7 @@
             opened.parsed.command(max(1, round(timeout * 1000))),
             lambda result: self._attempt_ended(opened, number, result),
             lambda: self._prepare_to_send(opened, number, now + timeout),
-            ForwardedValue(self, opened, number),
+            LongValue(self, opened, number),
         )
         attempt.execution = action.execution
         opened.attempts.append(attempt)
@@ -473,6 +476,7 @@
     def _set_answered(self, opened: OpenRequest) -> None:
         """Notes that the final answer is given, or begun; reports one that is late."""
         opened.answered = True
+        self._abort_collected_values(opened)
         late = self._scheduler.clock() - opened.deadline
         if late <= LATE_ANSWER_S:
             return
@@ -488,6 +492,12 @@
             ", ".join(attempts) or "none",
         )
 
+    def _abort_collected_values(self, opened: OpenRequest) -> None:
+        """Ends the attempts whose long values are collected: nobody waits for these any more."""
+        for attempt in opened.attempts:
+            if attempt.collects_value:
+                self._pool.abort(attempt, CloseReason.CANCELLED)
+
     def _fail_unanswered(self, opened: OpenRequest, why: str) -> None:
         """Sends an error for a request that the engine left unanswered."""
         log.error("request %s: %s", opened.id, why)
--- a/hazelhollow/net/open_request.py
+++ b/hazelhollow/net/open_request.py
@@ -11,9 +11,12 @@
 | FORWARDING | yes | one, `forwarding` | its answer ends or breaks off, its client leaves: ENDED |
 | ENDED | yes | none | the record is dropped |
 
-IN_FLIGHT changes to FORWARDING when the first byte of an attempt's long value is here: it is the
-final answer, and neither the deadline nor another attempt applies any more. The head of the answer
-changes nothing: a value that never comes must cost neither. IN_FLIGHT changes to WAITING when the
+IN_FLIGHT changes to FORWARDING when the first byte of an attempt's long value is here, unless
+requests that were read wait behind it: it is the final answer, and neither the deadline nor another
+attempt applies any more. The head of the answer changes nothing: a value that never comes must cost
+neither. With requests behind it the value is collected, and the request stays IN_FLIGHT: if the
+value broke after its first byte was written, only the end of the connection could tell the client,
+and what stands behind it would get no answer. IN_FLIGHT changes to WAITING when the
 last attempt that is out ends without a successful answer. Two more events apply in every state but
 ENDED:
 
@@ -45,8 +48,8 @@
     either `complete_value` or `break_value`.
     """
 
-    def send_value(self, value: bytes) -> None:
-        """Answers with the value of a successful attempt."""
+    def send_value(self, value: bytes | bytearray) -> None:
+        """Answers with the value of a successful attempt; takes over a bytearray."""
 
     def send_busy(self, retry_after_ms: int) -> None:
         """Rejects the request; the client may retry after that time, if it is not 0."""
@@ -54,6 +57,18 @@
     def send_failure(self) -> None:
         """Reports that the request failed; it may nevertheless have been executed."""
 
+    def has_requests_behind(self) -> bool:
+        """Whether the client has sent more that was read and needs an answer after this one."""
+
+    def reserve_memory(self, size: int, on_room: Callable[[], object]) -> bool:
+        """Reserves memory for a value that is collected; returns whether there is enough.
+
+        If not, `on_room` is called once, when there may be.
+        """
+
+    def release_memory(self, size: int, on_room: Callable[[], object]) -> None:
+        """Withdraws `reserve_memory`, of which `size` bytes were granted."""
+
     def start_value(self, length: int, on_room: Callable[[], object]) -> None:
         """Begins a value of `length` bytes. `on_room` is called when `value_room` grows from 0."""
 
--- a/hazelhollow/net/pooled_connection.py
+++ b/hazelhollow/net/pooled_connection.py
@@ -6,7 +6,8 @@
 | --- | --- | --- | --- |
 | CONNECTING | yes | for writing | it is up: BUSY. Refused, or not up in time: CLOSED |
 | BUSY | yes | for reading | an answer: SETTLING. Head of a long value: ANNOUNCED. Else: CLOSED |
-| ANNOUNCED | yes | for reading | the value's first byte: FORWARDING. Else as BUSY |
+| ANNOUNCED | yes | for reading | the value's first byte: FORWARDING, COLLECTING. Else as BUSY |
+| COLLECTING | yes | for reading, unless `waits_for_memory` | as BUSY |
 | FORWARDING | yes | for reading, while the sink has room | as BUSY; silence is the only timeout |
 | SETTLING | no | no | 0.03 s pass: IDLE. Bytes after the answer: CLOSED |
 | IDLE | no | no | a new attempt: BUSY. Idle too long, or its descriptor is needed: CLOSED |
@@ -43,7 +44,8 @@
         idle_since: When the last attempt ended (clock).
         partial_answer_at: When the last bytes of an incomplete answer arrived, or the sink of a
             forwarded value got room again (clock); 0 if none, or if the sink has no room.
-        collected: The bytes of a short value that have arrived; None if none has begun.
+        collected: The bytes of a value that is part of the result; None if none has begun.
+        waits_for_memory: Whether a long value has begun that there is no memory for.
         announced_length: The length of a long value of which no byte has arrived; 0 if none.
         reusable_from: When SETTLING ends (clock).
     """
@@ -56,6 +58,7 @@
         "parser",
         "collected",
         "announced_length",
+        "waits_for_memory",
         "partial_answer_at",
         "reusable_from",
         "_sent_before",
@@ -69,6 +72,7 @@
         self.parser = AnswerParser()
         self.collected: bytearray | None = None
         self.announced_length = 0
+        self.waits_for_memory = False
         self.idle_since = 0.0
         self.partial_answer_at = 0.0
         self.reusable_from = 0.0
--- a/hazelhollow/net/resp.py
+++ b/hazelhollow/net/resp.py
@@ -212,6 +212,12 @@
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
+def frame_bulk_string(value: bytearray) -> None:
+    """Turns a value into its encoding in place: a copy of a long one would double its memory."""
+    value[:0] = b"$%d\r\n" % len(value)
+    value += b"\r\n"
+
+
 def encode_command(arguments: list[bytes]) -> bytes:
     """Encodes a command as an array of its arguments."""
     return b"*%d\r\n" % len(arguments) + b"".join(
--- a/hazelhollow/net/ring_buffer.py
+++ b/hazelhollow/net/ring_buffer.py
@@ -33,7 +33,7 @@
         """Returns how many bytes may still be written."""
         return self.max_size - self._size
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | bytearray | memoryview) -> None:
         """Appends bytes.
 
         Raises:
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -26,9 +26,10 @@
 from hazelhollow.net.answer_slot import AnswerSlot
 from hazelhollow.net.client_memory import ClientMemory
 from hazelhollow.net.close_reason import CloseReason
-from hazelhollow.net.command_reader import MAX_PIPELINED, CommandReader
+from hazelhollow.net.command_reader import COMMAND_TIMEOUT_S, MAX_PIPELINED, CommandReader
 from hazelhollow.net.scheduler import PEER_CLOSED, READABLE, SOCKET_ERROR, TIMED_OUT, WOKEN
 from hazelhollow.net.session_input import SessionInput
+from hazelhollow.net.unread_input import INCOMPLETE_COMMAND, UnreadInput
 from hazelhollow.net.unserved_command_limit import UnservedCommandLimit
 from hazelhollow.net.value_forwarding import MAX_WINDOW_BYTES
 
@@ -38,7 +39,6 @@
 
 MAX_UNSENT_BYTES = 4 * resp.MAX_STRING_BYTES  # answers that the client has not read
 STALL_TIMEOUT_S = 10.0  # without a byte read by the client, while answers are pending
-COMMAND_TIMEOUT_S = 2.0  # for the rest of a command, and for the first one of a connection
 IDLE_TIMEOUT_S = 10.0
 LINGER_S = 1.0  # for the client to close a connection whose sending side was closed here
 MAX_LINGER_BYTES = 1 << 20  # that the client may still send meanwhile
@@ -85,6 +85,7 @@
         self._linger_reason: CloseReason | None = None  # why the sending side was closed
         self._break_reason: CloseReason | None = None  # why the task has to end the session
         self._forwarded_values = 0  # of this session, that have begun and not ended
+        self._unread_input = UnreadInput(connection, self.reader)
         self._waits_for_memory = False
 
     def run(self) -> None:
@@ -113,7 +114,8 @@
         slots, self.slots = self.slots, deque()
         frontend.forwarding.active -= self._forwarded_values
         self._forwarded_values = 0
-        orderly = reason in ORDERLY_REASONS and not slots
+        # Behind an incomplete value no answer can be read; those before it may be in transit.
+        orderly = reason is CloseReason.INCOMPLETE or (reason in ORDERLY_REASONS and not slots)
         if orderly:
             self._stream.shutdown_send()
         if orderly and self._stream.close_reason is None:
@@ -203,13 +205,24 @@
                 return CloseReason.STALLED
         if self.reader.stopped:
             return None  # nothing is owed but errors, which are written already
+        if self._forwarded_values:
+            self._judge_unread_behind_value(now)
+            return None
         if not self._input.is_reading:
             self.reader.restart_timeout(now)
+        return self._reason_if_idle(now)
+
+    def _judge_unread_behind_value(self, now: float) -> None:
+        why = self._unread_input.error(now)
+        if why:
+            self.reject(why)
+
+    def _reason_if_idle(self, now: float) -> CloseReason | None:
         awaiting_since = self.reader.awaiting_since
         if awaiting_since is not None and now - awaiting_since >= COMMAND_TIMEOUT_S:
             if self.is_between_requests():
                 return CloseReason.IDLE
-            self.reject("incomplete command: the rest did not arrive in time")
+            self.reject(INCOMPLETE_COMMAND)
         elif now - self.idle_since >= IDLE_TIMEOUT_S and self.is_between_requests():
             return CloseReason.IDLE
         return None
@@ -286,16 +299,14 @@
         if not slots:
             return
         was_full = len(slots) >= MAX_PIPELINED
-        while slots and slots[0].answer is not None:
-            answer, rest = slots[0].answer[:MAX_UNSENT_BYTES], slots[0].answer[MAX_UNSENT_BYTES:]
-            if not self._stream.has_room(len(answer)):
+        while slots and (answer := slots[0].answer) is not None:
+            slot, piece = slots[0], slots[0].next_piece(MAX_UNSENT_BYTES)
+            if not self._stream.has_room(len(piece)):
                 break
-            self._stream.write(answer)
-            slots[0].has_begun = True
-            if rest:  # INFO of a limiter with thousands of classes
-                slots[0].answer = rest
-                slots[0].resize(len(rest))
-            else:
+            self._stream.write(piece)
+            slot.has_begun = True
+            slot.written += len(piece)
+            if slot.written >= len(answer):
                 slots.popleft().resize(0)
         if slots and slots[0].on_room and self._stream.room_below(self._window()) > 0:
             slots[0].on_room()
@@ -308,16 +319,23 @@
 
     # Long values, which are written while they arrive
 
+    def has_commands_behind(self, slot: AnswerSlot) -> bool:
+        """Whether commands that were read wait behind that of a slot."""
+        return self.slots[-1] is not slot or self.reader.has_queued()
+
     def start_value(self) -> None:
-        """Counts a value whose forwarding begins."""
+        """Counts a value whose forwarding begins; nothing is read until it ends."""
         self._forwarded_values += 1
         self._frontend.forwarding.active += 1
+        self._unread_input.restart()
+        self._stream.wake()
 
     def end_value(self) -> None:
         """Counts a value whose forwarding has ended."""
         if self._forwarded_values:
             self._forwarded_values -= 1
             self._frontend.forwarding.active -= 1
+            self._stream.wake()
 
     def value_room(self, slot: AnswerSlot) -> int:
         """Returns how many bytes of a slot's value may be written now."""
@@ -333,8 +351,9 @@
         """Closes the connection: the client must not take an incomplete value for a complete one.
 
         What was written before is sent first: answers to earlier commands may be part of it.
+        Nothing that was read waits behind the value; unread commands are sent again by the client.
         """
-        self._break_reason = CloseReason.CLOSED
+        self._break_reason = CloseReason.INCOMPLETE
         self._stream.wake()
 
     def _window(self) -> int:
@@ -352,7 +371,7 @@
                 if reason:
                     return reason
             until, events = self._next_wait()
-            self._input.set_reading(bool(events & READABLE))
+            self._input.set_reading(bool(events & READABLE) and not self._forwarded_values)
             # PEER_CLOSED reports a disconnection also while nothing is read or bytes are unread.
             bits = connection.wait(until, events | PEER_CLOSED)
             self.write_answers()
@@ -364,6 +383,8 @@
                 self._input.read_final_input(self)
             elif bits != WOKEN and bits & (PEER_CLOSED | SOCKET_ERROR):
                 return CloseReason.CLOSED if bits & PEER_CLOSED else CloseReason.RESET
+            elif bits != WOKEN and bits & READABLE and self._forwarded_values:
+                self._judge_unread_behind_value(self._frontend.scheduler.clock())
             elif bits != WOKEN and bits & READABLE and self._may_read():
                 result = self._input.read(self)
                 if isinstance(result, CloseReason):
@@ -371,7 +392,12 @@
         return connection.close_reason or CloseReason.SHUTDOWN
 
     def _stop_accepting_if_due(self) -> None:
-        if self._input.is_accepting() and not (self.reader.stopped or self._accepts_commands()):
+        if not self._input.is_accepting() or self.reader.stopped or self._accepts_commands():
+            return
+        if self._forwarded_values:
+            # What is read when the value ends might not be answered before SIGKILL.
+            self._input.stop_reading()
+        else:
             self.unserved_command_limit.lift()
             self._input.stop_accepting(self)
 
@@ -404,6 +430,8 @@
             or not self._stream.has_room(MAX_UNSENT_BYTES // 2)
         ):
             return None, 0
+        if self._forwarded_values:
+            return None, READABLE if self._unread_input.is_empty() else 0
         if self.unserved_command_limit.is_exhausted():
             return self.unserved_command_limit.available_at(), 0
         now = self._frontend.scheduler.clock()
@@ -419,8 +447,11 @@
     def _may_read(self) -> bool:
         """Whether there is room to read; a part of a command keeps what it holds.
 
-        Also while requests are in flight: what stands behind them has to be judged.
+        Also while requests are in flight: what stands behind them has to be judged. But not behind
+        a value that is being forwarded: if it broke, what was read would get no answer.
         """
+        if self._forwarded_values:
+            return False
         return self.reader.has_partial_command() or self.memory.has_room(is_pipelined=False)
 
     def _wait_for_memory(self, now: float) -> float | None:
--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -153,6 +153,10 @@
         self._final_bytes = MAX_FINAL_BYTES
         self.read_final_input(session)
 
+    def stop_reading(self) -> None:
+        """Ends reading: the client sends again what is unread."""
+        self._final_bytes = 0
+
     def unread_error(self) -> str | None:
         """Returns why the input that arrived after the end cannot be read; None if it can be.
 
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -43,6 +43,7 @@
         self.opened = 0  # on a new connection
         self.no_descriptor = 0
         self.forwarded = 0  # long values that began to be passed on
+        self.collected = 0  # long values with requests behind them, which have to be whole first
         self.broken_values = 0  # of those, the ones that were not completed
         self.ok_seconds = 0.0  # total duration of successful attempts
         self.settled = 0  # answers that reported the units used
--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import select
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 
@@ -226,6 +229,14 @@
         except OSError:
             return b""
 
+    def unread_bytes(self) -> int:
+        """Returns how many received bytes are unread; 0 if the operating system cannot tell."""
+        try:
+            count = b"" if self.close_reason else fcntl.ioctl(self._fd, termios.FIONREAD, bytes(4))
+        except OSError:
+            return 0
+        return int.from_bytes(count, sys.byteorder)
+
     def seconds_since_last_input(self) -> float:
         """Returns how long ago the operating system received the last bytes; 0 if it cannot tell.
 
@@ -295,7 +306,7 @@
     def _has_new_room(self) -> bool:
         return self._room_refused_at is not None and self.bytes_sent > self._room_refused_at
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | bytearray | memoryview) -> None:
         """Buffers data to be sent from the end of this turn on; drops it if the stream is closed.
 
         Raises:
--- a/hazelhollow/net/value_forwarding.py
+++ b/hazelhollow/net/value_forwarding.py
@@ -1,26 +1,35 @@
 """Passes a long value on to its client while the endpoint still sends it.
 
-`ForwardedValue` is the `ValueSink` of one attempt; `ForwardingWindow` bounds the memory of all of
-them. The states of a value, which follow from `Attempt.forwarding_since` and `OpenRequest`:
+`LongValue` is the `ValueSink` of one attempt; `ForwardingWindow` bounds the memory of all that are
+forwarded. The states of a value, which follow from `Attempt` and `OpenRequest`:
 
 | state | left by |
 | --- | --- |
-| NOT_STARTED | the value's first byte is here: FORWARDING, unless nobody waits for it any more |
+| NOT_STARTED | the value's first byte is here: FORWARDING, or COLLECTED with requests behind it |
+| COLLECTED | it is whole, or its attempt ends: it is then answered as a short value is |
 | FORWARDING | the whole answer has been read: COMPLETE. The endpoint breaks off: BROKEN |
 | COMPLETE | the client has the value's last bytes, with which it can tell that it is complete |
 | BROKEN | the client's connection is closed, or it gets an error if it has no byte of the value |
+
+No byte of an incomplete value is written while a request that was read waits behind it, and none is
+read behind a value in FORWARDING. Otherwise a value that its endpoint breaks off would take the
+answers of these requests with it, since only the end of the connection tells the client.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from hazelhollow.net.attempts import ValuePath
+
 if TYPE_CHECKING:
+    from hazelhollow.net.attempts import Attempt
     from hazelhollow.net.engine_driver import EngineDriver
     from hazelhollow.net.open_request import OpenRequest
 
 MIN_WINDOW_BYTES = 4 * 1024
 MAX_WINDOW_BYTES = 64 * 1024
+COLLECTED_GROWTH = 8  # a buffer that grows holds up to an eighth more than its content
 BUFFERS_PER_VALUE = 4  # one window in the parser, and a ring buffer of up to twice its content
 
 
@@ -41,7 +50,18 @@
         return max(MIN_WINDOW_BYTES, min(share, MAX_WINDOW_BYTES))
 
 
-class ForwardedValue:
+def release_collected(opened: OpenRequest, attempt: Attempt) -> None:
+    """Releases the memory of an attempt's collected value, at the end of the attempt.
+
+    An answer has released its request's memory already, whatever was reserved for it.
+    """
+    if attempt.collects_value:
+        attempt.collects_value = False
+        size = 0 if opened.answered else attempt.reserved_bytes
+        opened.responder.release_memory(size, attempt.wake_connection)
+
+
+class LongValue:
     """The sink of one attempt's value."""
 
     __slots__ = ("_driver", "_opened", "_number")
@@ -49,9 +69,23 @@
     def __init__(self, driver: EngineDriver, opened: OpenRequest, number: int) -> None:
         self._driver, self._opened, self._number = driver, opened, number
 
-    def start(self, length: int) -> bool:
-        """Makes this attempt the only one; returns whether the value is still wanted."""
-        return self._driver.value_started(self._opened, self._number, length)
+    def start(self, length: int) -> ValuePath:
+        """Decides what becomes of the value; to forward it makes this attempt the only one."""
+        if self._opened.answered:
+            return ValuePath.DROP
+        if self._opened.responder.has_requests_behind():
+            return self._collect(length)
+        self._driver.begin_forwarding(self._opened, self._number, length)
+        return ValuePath.FORWARD
+
+    def _collect(self, length: int) -> ValuePath:
+        attempt, size = self._opened.attempts[self._number], length + length // COLLECTED_GROWTH
+        attempt.collects_value = True
+        if not self._opened.responder.reserve_memory(size, attempt.wake_connection):
+            return ValuePath.WAIT
+        attempt.reserved_bytes = size
+        self._driver.value_collected()
+        return ValuePath.COLLECT
 
     def room(self) -> int:
         """Returns how many bytes the client's connection takes now."""
--- a/tests/net/scenario.py
+++ b/tests/net/scenario.py
@@ -208,6 +208,16 @@
         assert ends, "no connection"
         return ends[int(number or 0) - 1]
 
+    def received_request(self, end: socket.socket) -> str:
+        """Returns the id of the request that an endpoint's connection received."""
+        for _ in range(TURNS):
+            self.settle(1)
+            try:
+                return end.recv(1 << 20).split(b"\r\n")[6].decode()
+            except BlockingIOError:
+                wait_for_kernel(end)
+        raise AssertionError("no request was received")
+
     def bytes_of(self, words: str) -> bytes:
         kind, _, rest = words.partition(" ")
         if kind in ("table", "whole"):
--- a/tests/net/test_adverse_event_orders.py
+++ b/tests/net/test_adverse_event_orders.py
@@ -22,9 +22,8 @@
 from hazelhollow.decisions import interface as api
 from hazelhollow.net import stream
 from hazelhollow.net.close_reason import CloseReason
-from hazelhollow.net.command_reader import MAX_COMMANDS_PER_TURN
+from hazelhollow.net.command_reader import COMMAND_TIMEOUT_S, MAX_COMMANDS_PER_TURN
 from hazelhollow.net.lifecycle import watch_signals
-from hazelhollow.net.session import COMMAND_TIMEOUT_S
 from hazelhollow.net.session_table import MAX_LINGERING
 from hazelhollow.platform_config import PlatformConfig
 from tests.net.scenario import SETTINGS, STAGES, Stage
--- a/tests/net/test_request_states.py
+++ b/tests/net/test_request_states.py
@@ -13,6 +13,12 @@
 from tests.net.scenario import Stage
 from tests.net.test_client_memory import fill
 from tests.net.test_connection_ends import block_connects
+from tests.net.test_requests_behind_values import (
+    BEHIND,
+    ONE_ATTEMPT,
+    SERVED,
+    begin_with_requests_behind,
+)
 from tests.net.test_scenarios import VALUE, ask
 from tests.net.test_value_forwarding import HEAD, SIZE, VALUE_BYTES, BlockedSocket, read_all
 
@@ -168,6 +174,26 @@
     assert nothing_is_open(stage) and not stage.service.stats.forwarded
 
 
+@state("long value with requests behind")
+def long_value_with_requests_behind() -> None:
+    stage = Stage(hosts=1, settings=ONE_ATTEMPT)
+    begin_with_requests_behind(stage)
+    stage.play("wait 0.9\na expect nothing\nwait 0.2")
+    received = read_all(stage._end("a"), stage)
+    assert received.startswith(b"-") and received.endswith(b"\r\n" + SERVED * BEHIND)
+    assert nothing_is_open(stage)
+
+
+@state("long value without memory")
+def long_value_without_memory() -> None:
+    stage = Stage(hosts=1, settings=ONE_ATTEMPT)
+    begin_with_requests_behind(stage, b"")
+    fill(stage, 0.5)
+    stage._end("s1.1").sendall(HEAD + VALUE_BYTES[:9])
+    stage.play("wait 0.9\na expect nothing\nwait 0.2")
+    assert read_all(stage._end("a"), stage).startswith(b"-") and nothing_is_open(stage)
+
+
 @state("long value that stops")
 def long_value_that_stops() -> None:
     stage = Stage(hosts=1)
@@ -210,6 +236,17 @@
     assert read_all(stage._end("a"), stage) == b"$2\r\nhi\r\n$%d\r\n%b" % (SIZE, VALUE_BYTES[:9])
 
 
+@state("in the socket behind a value")
+def in_the_socket_behind_a_value() -> None:
+    stage = Stage(hosts=1)
+    begin_long_value(stage, 1)
+    read_all(stage._end("a"), stage)
+    stage.play(f"a send {ask(2)}\nwait {FORWARDING_STALL_S - 0.2}\na expect nothing")
+    assert stage.service.stats.requests == 1
+    stage.play("wait 0.5\na expect closed")
+    assert nothing_is_open(stage) and stage.service.stats.requests == 1
+
+
 @state("long value without a reader")
 def long_value_without_a_reader() -> None:
     stage = Stage(hosts=1)
--- a/tests/soak/planted_serve.py
+++ b/tests/soak/planted_serve.py
@@ -31,7 +31,7 @@
     ) -> None:
         start_value(self, connection, attempt, length)
         if connection.announced_length:
-            self._begin_forwarding(connection, attempt)
+            self._begin_value(connection, attempt)
 
     connection_pool.ConnectionPool._start_value = start  # type: ignore[method-assign]
 
