--- a/hazelhollow/net/connection_pool.py
+++ b/hazelhollow/net/connection_pool.py
@@ -2,36 +2,21 @@
 
 The pool is the only owner of these connections: it opens, reuses and closes them. `engine_driver`
 starts, aborts and withdraws attempts; `service` sets which endpoints are listed.
-`pooled_connection` documents the states of a connection.
+`pooled_connection` documents the states of a connection; `answer_receiver` reads the answers on it.
 """
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
 
 from hazelhollow.net import resp, stream
-from hazelhollow.net.answer_parser import (
-    AnswerCompleted,
-    AnswerEvent,
-    ErrorReceived,
-    ValueData,
-    ValueStarted,
-)
-from hazelhollow.net.attempts import (
-    MAX_COLLECTED_BYTES,
-    Attempt,
-    AttemptResult,
-    ValuePath,
-    ValueSink,
-    read_error,
-)
+from hazelhollow.net.answer_receiver import AnswerReceiver
+from hazelhollow.net.attempts import Attempt, AttemptResult, ValueSink
 from hazelhollow.net.close_reason import CloseReason, attempt_status
-from hazelhollow.net.errors import EndpointError, ProtocolError
 from hazelhollow.net.pooled_connection import PooledConnection, PoolEndpoint
-from hazelhollow.net.scheduler import WOKEN, Scheduler
+from hazelhollow.net.scheduler import Scheduler
 from hazelhollow.net.stats import Stats
 
 REQUEST_HEADER_BYTES = 64  # at least the RESP headers of an array of five strings
@@ -50,8 +35,6 @@
 # A connection is not reused for this long after an answer, as a second copy may still arrive.
 SETTLE_TIME_S = 0.03
 
-log = logging.getLogger(__name__)
-
 
 @dataclass(frozen=True)
 class PoolSettings:
@@ -84,6 +67,7 @@
         # includes the connections to endpoints that are no longer listed
         self._connections: set[PooledConnection] = set()
         self.free_descriptor: Callable[[], bool] = self.close_longest_idle
+        self._receiver = AnswerReceiver(scheduler, self.close_connection, self._finish_attempt)
         scheduler.at(scheduler.clock() + SWEEP_INTERVAL_S, self._sweep)
 
     def set_timeouts(self, connect_timeout: float, endpoint_idle_timeout: float) -> None:
@@ -245,7 +229,7 @@
             return  # closed in the same turn in which it was created
         reason = CloseReason.BROKEN_HERE
         try:
-            reason = self._open(connection) or self._read_answers(connection)
+            reason = self._open(connection) or self._receiver.read_answers(connection)
         finally:
             self.close_connection(connection, reason)
 
@@ -284,136 +268,8 @@
             sock.wait(min(now + WITHHELD_CHECK_INTERVAL_S, until), events=0)
         return True
 
-    def _read_answers(self, connection: PooledConnection) -> CloseReason:
-        """Reads answers until the connection ends; returns the reason."""
-        assert connection.stream
-        sock = connection.stream
-        sock.on_send_failure = lambda reason: self.close_connection(connection, reason)
-        while sock.close_reason is None:
-            data: bytes | CloseReason | None = None
-            room = self._room(connection)
-            if room <= 0:
-                sock.wait_unwatched()
-            elif not connection.parser.has_value_data() and sock.wait() != WOKEN:
-                data = sock.read(room)
-                if isinstance(data, CloseReason):
-                    return data
-                connection.parser.feed(data or b"")
-            if connection.attempt is None:
-                continue
-            try:
-                self._process_received(connection, has_new_bytes=bool(data))
-            except (ProtocolError, EndpointError) as error:
-                log.info(
-                    "endpoint %s: closing a connection after a malformed answer: %s",
-                    connection.endpoint.name,
-                    error,
-                )
-                return CloseReason.MALFORMED
-        return sock.close_reason
-
-    def _room(self, connection: PooledConnection) -> int:
-        """Returns how many bytes may be read now; 0 while idle or while nothing can take them."""
-        attempt = connection.attempt
-        if attempt is None or connection.waits_for_memory:
-            return 0
-        if not connection.is_forwarding or attempt.sink is None:
-            return stream.READ_CHUNK_BYTES
-        room = attempt.sink.room()
-        if room <= 0:
-            # Silence is the client's now, not the endpoint's.
-            connection.partial_answer_at = 0.0
-        elif not connection.partial_answer_at:
-            connection.partial_answer_at = self._scheduler.clock()
-        return room
-
-    def _process_received(self, connection: PooledConnection, has_new_bytes: bool) -> None:
-        """Handles the events of the bytes received so far, as far as the sink has room.
-
-        `has_new_bytes`: whether bytes have just arrived. Only these end a silence: a shutdown, or a
-        client that reads, wakes the connection again and again.
-
-        Raises:
-            ProtocolError: The bytes are no answer.
-            EndpointError: The answer cannot belong to the attempt.
-        """
-        while connection.attempt is not None:
-            if connection.announced_length and connection.parser.has_value_data():
-                self._begin_value(connection, connection.attempt)
-                if connection.waits_for_memory:
-                    return
-                continue
-            event = connection.parser.next_event(self._max_data(connection))
-            if event is None:
-                if connection.attempt and not connection.parser.is_idle():
-                    is_blocked = connection.is_forwarding and connection.parser.has_value_data()
-                    if is_blocked:
-                        connection.partial_answer_at = 0.0
-                    elif has_new_bytes or not connection.partial_answer_at:
-                        connection.partial_answer_at = self._scheduler.clock()
-                return
-            self._handle_event(connection, connection.attempt, event)
-
-    def _max_data(self, connection: PooledConnection) -> int:
-        attempt = connection.attempt
-        if attempt and attempt.sink and connection.is_forwarding:
-            return attempt.sink.room()
-        return MAX_COLLECTED_BYTES
-
-    def _handle_event(
-        self, connection: PooledConnection, attempt: Attempt, event: AnswerEvent
-    ) -> None:
-        if isinstance(event, ValueStarted):
-            self._start_value(connection, attempt, event.length)
-        elif isinstance(event, ValueData):
-            if connection.collected is not None:
-                connection.collected += event.data
-            elif attempt.sink:
-                attempt.sink.write(event.data)
-        elif isinstance(event, ErrorReceived):
-            self._finish_attempt(connection, read_error(event.line))
-        else:
-            self._finish_attempt(connection, _result(connection, event))
-
-    def _start_value(self, connection: PooledConnection, attempt: Attempt, length: int) -> None:
-        """Collects a short value, or notes that a long one is announced."""
-        _raise_if_unsent(connection)
-        if length <= MAX_COLLECTED_BYTES:
-            connection.collected = bytearray()
-        elif attempt.sink is None:
-            raise EndpointError(f"a value of {length} bytes, which nothing can take")
-        else:
-            connection.announced_length = length
-
-    def _begin_value(self, connection: PooledConnection, attempt: Attempt) -> None:
-        """Forwards or collects a long value from now on: its first byte is here.
-
-        Its head alone promises nothing: until the first byte, timeouts and other attempts go on.
-        They also go on while the value is collected.
-        """
-        assert attempt.sink
-        path = attempt.sink.start(connection.announced_length)
-        connection.waits_for_memory = path is ValuePath.WAIT
-        if path is ValuePath.WAIT:
-            connection.partial_answer_at = 0.0  # the silence is this process's
-            return
-        connection.announced_length = 0
-        if path is ValuePath.FORWARD:
-            attempt.forwarding_since = self._scheduler.clock()
-            attempt.cancel_timers()
-        elif path is ValuePath.COLLECT:
-            connection.collected = bytearray()
-        else:
-            self.close_connection(connection, CloseReason.CANCELLED)
-
     def _finish_attempt(self, connection: PooledConnection, result: AttemptResult) -> None:
-        """Ends the attempt with its answer and keeps the connection for the next one.
-
-        Raises:
-            EndpointError: The answer arrived before its request was sent completely. It cannot
-                belong to that request, and later bytes could be mistaken for the answer to another.
-        """
-        _raise_if_unsent(connection)
+        """Ends the attempt with its answer and keeps the connection for the next one."""
         attempt, connection.attempt = connection.attempt, None
         assert attempt
         connection.partial_answer_at, connection.collected = 0.0, None
@@ -453,16 +309,3 @@
                     attempt.sink.stalled()
                 else:
                     self.close_connection(connection, CloseReason.STALLED)
-
-
-def _raise_if_unsent(connection: PooledConnection) -> None:
-    if not connection.has_sent_all():
-        raise EndpointError("the answer arrived before its request was sent")
-
-
-def _result(connection: PooledConnection, event: AnswerCompleted) -> AttemptResult:
-    """Returns the result of a complete answer; a forwarded value is not part of it."""
-    value: bytes | bytearray | None = connection.collected
-    if value is not None and len(value) <= MAX_COLLECTED_BYTES:
-        value = bytes(value)
-    return AttemptResult("ok", value, event.report, event.figures)
--- a/tests/soak/planted_serve.py
+++ b/tests/soak/planted_serve.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from hazelhollow.net import (
+    answer_receiver,
     answer_slot,
     client_memory,
     command_reader,
@@ -27,10 +28,10 @@
 
 def begin_at_the_head() -> None:
     """A long answer counts as begun at its head."""
-    start_value = connection_pool.ConnectionPool._start_value
+    start_value = answer_receiver.AnswerReceiver._start_value
 
     def start(
-        self: connection_pool.ConnectionPool,
+        self: answer_receiver.AnswerReceiver,
         connection: PooledConnection,
         attempt: Attempt,
         length: int,
@@ -39,7 +40,7 @@
         if connection.announced_length:
             self._begin_value(connection, attempt)
 
-    connection_pool.ConnectionPool._start_value = start  # type: ignore[method-assign]
+    answer_receiver.AnswerReceiver._start_value = start  # type: ignore[method-assign]
 
 
 def never_end_a_silent_value() -> None:
