Time behind a forwarded value counts from the arrival of what follows

A request that came while a value was forwarded counted as waiting since the value began, since nothing is read behind one: behind a value of 5 s it would have had no time left. The session learns of the first unread byte from poll, and the wait counts from then.

--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -216,6 +216,8 @@
 
     def _judge_unread_behind_value(self, now: float) -> None:
         why = self._unread_input.error(now)
+        if not self._unread_input.is_empty():
+            self._input.note_arrival()
         if why:
             self.reject(why)
 
@@ -396,7 +398,7 @@
                 if reason:
                     return reason
             until, events = self._next_wait()
-            self._input.set_reading(bool(events & READABLE) and not self._forwarded_values)
+            self._note_reading(bool(events & READABLE))
             # PEER_CLOSED reports a disconnection also while nothing is read or bytes are unread.
             bits = connection.wait(until, events | PEER_CLOSED)
             self.write_answers()
@@ -416,6 +418,12 @@
                     return result
         return connection.close_reason or CloseReason.SHUTDOWN
 
+    def _note_reading(self, is_polled: bool) -> None:
+        if self._forwarded_values:
+            self._input.watch()
+        else:
+            self._input.set_reading(is_polled)
+
     def _stop_accepting_if_due(self) -> None:
         if not self._input.is_accepting() or self.reader.stopped or self._accepts_commands():
             return
@@ -448,14 +456,12 @@
 
     def _next_wait(self) -> tuple[float | None, int]:
         """Returns when to continue with commands already read, and the poll events to wait for."""
-        if (
-            self.reader.stopped
-            or self._break_reason
-            or not self._stream.has_room(MAX_UNSENT_BYTES // 2)
-        ):
+        if self.reader.stopped or self._break_reason:
             return None, 0
         if self._forwarded_values:
             return None, READABLE if self._unread_input.is_empty() else 0
+        if not self._stream.has_room(MAX_UNSENT_BYTES // 2):
+            return None, 0
         if self.unserved_command_limit.is_exhausted():
             return self.unserved_command_limit.available_at(), 0
         self._waits_for_memory = False
--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -87,6 +87,16 @@
                 self._unread_since = None
         self.is_reading = is_reading
 
+    def watch(self) -> None:
+        """Notes that the session reads nothing, but learns when the first bytes arrive."""
+        if self.is_reading:
+            self.is_reading, self._paused_at = False, self._stream.scheduler.clock()
+
+    def note_arrival(self) -> None:
+        """Notes that bytes have arrived which the session does not read yet."""
+        if self._unread_since is None:
+            self._unread_since = self._stream.scheduler.arrived_since
+
     def read(self, session: Session) -> int | CloseReason:
         """Reads and executes commands; returns the number of bytes, or why the connection ended."""
         size = min(READ_CHUNK_BYTES, self._reader.parser_room())
--- a/tests/net/test_requests_behind_values.py
+++ b/tests/net/test_requests_behind_values.py
@@ -110,6 +110,18 @@
     stage.play(f"s1 expect {ask(2, 700)}\ns1 send {VALUE}\na expect $2\\r\\nhi")
 
 
+def test_time_behind_a_value_counts_from_the_arrival_of_what_follows() -> None:
+    """Guards against a request that fails as if it had waited since the value began."""
+    stage = Stage(hosts=1)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}")
+    stage._end("s1").sendall(HEAD + VALUE_BYTES[:9])
+    read_all(stage._end("a"), stage)
+    stage.play(f"wait 2.0\na send {ask(2)}\nwait 0.1")
+    stage._end("s1").sendall(VALUE_BYTES[9:] + END)
+    assert read_all(stage._end("a"), stage) == VALUE_BYTES[9:] + b"\r\n"
+    stage.play(f"s1 expect {ask(2, 900)}\ns1 send {VALUE}\na expect $2\\r\\nhi")
+
+
 def test_broken_value_ends_its_connection_in_order_with_requests_unread_behind_it() -> None:
     """Guards against a reset over unread input, which drops answers that are still in transit."""
     stage = Stage(hosts=1)
