The first bytes of a connection count from when the system received them

Suspected, not traced: the connection had waited to be accepted, and its first bytes counted as just arrived, so that the client counted as connected. Its evidence is now as old as its last bytes.

--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -100,15 +100,18 @@
     def read(self, session: Session) -> int | CloseReason:
         """Reads and executes commands; returns the number of bytes, or why the connection ended."""
         size = min(READ_CHUNK_BYTES, self._reader.parser_room())
+        received_since = self._stream.scheduler.arrived_since
+        if not self._reader.had_first_command:  # before reading, which lets more arrive
+            received_since = min(received_since, self._received_since())
         data = self._stream.read(size)
         if isinstance(data, CloseReason):
             return data
         count = len(data or b"")
         if count == size:
-            self._note_unread()
+            self._note_unread(received_since)
         arrived_since = self._arrived_since(is_empty=count < size)
         if not self._reader.had_first_command:
-            arrived_since = min(arrived_since, self._received_since())
+            arrived_since = min(arrived_since, received_since)
         arrived_since = min(arrived_since, self._backlogged_since(arrived_since, count == size))
         if self._final_bytes is not None:
             self._final_bytes = max(self._final_bytes - count, 0)
@@ -132,13 +135,17 @@
         self._crowded_since = None
         return now
 
-    def _note_unread(self) -> None:
-        """Notes whether so much is still unread that a close might stand behind it."""
+    def _note_unread(self, received_since: float) -> None:
+        """Notes whether so much is still unread that a close might stand behind it.
+
+        `received_since`: when the last bytes arrived. A new connection may have waited to be
+        accepted since then, and its client may have left meanwhile.
+        """
         if is_close_visible(self._stream.unread_bytes()):
             return
         self._crowded_at = self._stream.scheduler.clock()
         if self._crowded_since is None:
-            self._crowded_since = self._stream.scheduler.arrived_since
+            self._crowded_since = received_since
 
     def _has_backlog_ended(self, now: float) -> bool:
         return self._emptied_at is not None and now - self._emptied_at >= BACKLOG_GAP_S
--- a/tests/net/test_hidden_disconnects.py
+++ b/tests/net/test_hidden_disconnects.py
@@ -22,10 +22,12 @@
 )
 from hazelhollow.net.connection_pool import MAX_WITHHELD_S
 from hazelhollow.net.pooled_connection import PooledConnection
+from hazelhollow.net.stream import Stream
 from tests.net.scenario import Stage
 from tests.net.test_client_memory import fill
 from tests.net.test_scenarios import DO, VALUE, ask
 
+MAX_RETRIES = 2
 MANY = 150  # requests, more than are in progress at a time
 BODY_BYTES = 30_000
 KEPT_WAITING = 1000  # requests from this number on get no attempt
@@ -43,7 +45,7 @@
             return [api.StartAttempt(event.id, "s1")]
         if isinstance(event, api.AttemptEnded):
             self.ended.append((event.id, event.attempt, event.status))
-            if not event.final and event.attempt < 2:
+            if not event.final and sum(one[0] == event.id for one in self.ended) <= MAX_RETRIES:
                 return [api.StartAttempt(event.id, "s2")]
         return []
 
@@ -100,6 +102,25 @@
     assert [status for _, _, status in engine.ended[1:]] == ([] if is_read else ["never_sent"] * 2)
 
 
+def test_client_that_left_while_it_waited_to_be_accepted_has_no_attempt(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a connection whose first bytes count as new when it is accepted.
+
+    Found by the soak, seed 70043: an upgrade, and a client that sent much and left.
+    """
+    stage = Stage(hosts=1)
+    RetryingEngine(stage)
+    monkeypatch.setattr(Stream, "seconds_since_last_input", lambda self: 0.4)
+    client = socket.create_connection(stage.service.frontend.address)
+    client.setblocking(False)
+    rest = send_some(client, stage.bytes_of(ask(1, 2900)))
+    assert not rest and len(send_much(stage, client)) < (MANY - 5) * BODY_BYTES
+    client.close()
+    stage.settle()
+    assert stage.service.stats.accepted == 1 and not stage.service.stats.attempts
+
+
 def test_attempt_that_was_withheld_keeps_its_number() -> None:
     """Guards against a later attempt that the engine and the network give different numbers."""
     stage = Stage(hosts=2)
