--- a/hazelhollow/scale/modelled_endpoints.py
+++ b/hazelhollow/scale/modelled_endpoints.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from hazelhollow.decisions import interface as api
 from hazelhollow.net.attempts import Attempt, AttemptResult, ValueSink
@@ -12,6 +13,9 @@
 from hazelhollow.net.scheduler import Scheduler
 from hazelhollow.scale.load import service_time
 
+if TYPE_CHECKING:
+    from hazelhollow.net.open_request import Responder
+
 
 class ModelledConnectionPool(ConnectionPool):
     """A connection pool of modelled servers: each attempt is answered after a random time.
@@ -67,7 +71,7 @@
         self.admitted = True
         return b""
 
-    def send_value(self, value: bytes) -> None:
+    def send_value(self, value: bytes | bytearray) -> None:
         """Discards the answer."""
 
     def send_busy(self, retry_after_ms: int) -> None:
@@ -76,6 +80,18 @@
     def send_failure(self) -> None:
         """Discards an error."""
 
+    def has_requests_behind(self) -> bool:
+        """Returns False: each modelled client has one request."""
+        return False
+
+    def reserve_memory(self, size: int, on_room: Callable[[], object]) -> bool:
+        """Never called: modelled servers return short values."""
+        del size, on_room
+        return True
+
+    def release_memory(self, size: int, on_room: Callable[[], object]) -> None:
+        """Never called."""
+
     def start_value(self, length: int, on_room: Callable[[], object]) -> None:
         """Never called: modelled servers return short values."""
 
@@ -95,3 +111,16 @@
     def has_disconnected(self) -> bool:
         """Returns False: modelled clients wait for their answer."""
         return False
+
+    def shows_disconnect(self) -> bool:
+        """Returns True: nothing hides a disconnect of a modelled client."""
+        return True
+
+    def is_client_known(self) -> bool:
+        """Returns True: modelled clients wait for their answer."""
+        return True
+
+
+if TYPE_CHECKING:
+    # The runs pass requests on untyped: a method that is missing would only show there.
+    _responder: type[Responder] = HollowRequest
