An attempt whose answer has begun is not cancelled by its age, nor without its retry

The 0.5 s for a part of an answer cut the heads of long values as well.

The network code now tells the engine which incomplete answers have progressed, before each round. It cancels one attempt at a time, and only if an endpoint, the budget and the time allow the next. Why it works: the check and the retry's start are the same choice, with no event between them. Each cancellation and each end without a retry is counted and logged with its reason.

--- a/hazelhollow/decisions/actions.py
+++ b/hazelhollow/decisions/actions.py
@@ -8,11 +8,17 @@
 
 import math
 from dataclasses import dataclass
-from typing import NamedTuple, Union
+from typing import Literal, NamedTuple, Union
 
 from hazelhollow.decisions.events import ReplicatedCount
 from hazelhollow.decisions.state.executions import Execution
 
+# Why an attempt is cancelled (`supervision.py`).
+CancelReason = Literal["hung", "stalled", "last try"]
+# Why a request gets no further attempt: it may have none, no endpoint may have it, it would end too
+# late, or the retry budget does not pay for it.
+RetryDenial = Literal["not allowed", "no endpoint", "too late", "no budget"]
+
 
 @dataclass(frozen=True)
 class StartAttempt:
@@ -37,29 +43,36 @@
 
 @dataclass(frozen=True)
 class CancelAttempt:
-    """Cancel an attempt; an `AttemptEnded` follows."""
+    """Cancel an attempt; an `AttemptEnded` follows. `reason` is only logged and counted."""
 
     id: str
     attempt: int
+    reason: CancelReason = "hung"
 
 
 @dataclass(frozen=True)
 class RejectRequest:
     """Give a request its final answer: rejected, may be repeated after `retry_after` seconds.
 
-    `reason` is only used for counters.
+    `reason` is only used for counters, and so is `retry_denial`: why no other attempt followed, if
+    there was one.
     """
 
     id: str
     retry_after: float = 0.0
     reason: str = ""
+    retry_denial: RetryDenial | None = None
 
 
 @dataclass(frozen=True)
 class FailRequest:
-    """Give a request its final answer: failed, and it may have taken effect."""
+    """Give a request its final answer: failed, and it may have taken effect.
+
+    `retry_denial` is only used for counters: why no other attempt followed.
+    """
 
     id: str
+    retry_denial: RetryDenial | None = None
 
 
 @dataclass(frozen=True)
--- a/hazelhollow/decisions/attempts.py
+++ b/hazelhollow/decisions/attempts.py
@@ -1,29 +1,27 @@
 """Attempts: starts them, handles their end, and learns from the result.
 
 The states of a request are described in `state/pending_requests.py`; `retry.py` decides whether it
-may have another attempt.
+may have another attempt, `supervision.py` which attempts are cancelled for one.
 """
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
-from hazelhollow.decisions.actions import CancelAttempt, FailRequest, StartAttempt
+from hazelhollow.decisions.actions import FailRequest, RetryDenial, StartAttempt
 from hazelhollow.decisions.context import DecisionContext
 from hazelhollow.decisions.endpoint_selection import EndpointSelection
-from hazelhollow.decisions.events import AnswerStalled, AttemptEnded, AttemptStarted
+from hazelhollow.decisions.events import AttemptEnded, AttemptStarted
 from hazelhollow.decisions.gossip import codec
 from hazelhollow.decisions.load_estimate import LoadEstimate
 from hazelhollow.decisions.outlier_detection import (
     EJECTION_THRESHOLD,
     EVERY_CLASS,
-    MAX_SILENCE_SHARE,
     OutlierDetection,
 )
 from hazelhollow.decisions.quota import Quota
 from hazelhollow.decisions.rejections import overload_retry_after, reject
 from hazelhollow.decisions.retry import (
-    HANGING_FACTOR,
     NEVER_RAN,
     RetryBudget,
     cost_of_retry,
@@ -90,7 +88,7 @@
 
         The end of an attempt that is not in flight is ignored.
         """
-        attempt = self._attempt_in_flight(event.id, event.attempt)
+        attempt = self._pending.attempt_in_flight(event.id, event.attempt)
         if attempt is None:
             return
         request = self._pending.by_id[event.id]
@@ -112,45 +110,41 @@
         The attempt stays in flight, but neither hangs nor counts as a backlog: how long the answer
         takes depends on the client.
         """
-        attempt = self._attempt_in_flight(event.id, event.attempt)
+        attempt = self._pending.attempt_in_flight(event.id, event.attempt)
         if attempt is not None:
             attempt.is_answering = True
             attempt.endpoint.last_progress_at = self._context.now
             attempt.endpoint.in_flight.pop((event.id, event.attempt), None)
 
-    def answer_stalled(self, event: AnswerStalled) -> None:
-        """Cancels an attempt whose answer has stopped half way, if another can start at once.
+    def can_replace(self, request: PendingRequest, attempt: Attempt, retry_until: float) -> bool:
+        """Whether another attempt could start at once if this one, which is in flight, ended.
 
-        Otherwise the rest may still arrive in time, and nothing would be gained.
+        `retry_until`: the time by which it must be expected to end.
         """
-        attempt = self._attempt_in_flight(event.id, event.attempt)
-        if attempt is None:
-            return
-        request, context = self._pending.by_id[event.id], self._context
-        attempt.in_flight = False  # as it would be after the cancellation
-        can_retry = not request.ended and self._can_retry(request, 1.0) is not None
+        attempt.in_flight = False
+        _, denial = self._choose_for_retry(request, 1.0, retry_until)
         attempt.in_flight = True
-        if can_retry:
-            context.actions.append(CancelAttempt(event.id, event.attempt))
-            self._outliers.record_failure(attempt.endpoint, request.request_class.name)
-
-    def _attempt_in_flight(self, request_id: str, number: int) -> Attempt | None:
-        request = self._pending.by_id.get(request_id)
-        if request is None or not 0 <= number < len(request.attempts):
-            return None
-        attempt = request.attempts[number]
-        return attempt if attempt.in_flight else None
-
-    def _can_retry(self, request: PendingRequest, cost: float) -> Endpoint | None:
-        """Returns the endpoint of another attempt that is allowed and can be in time, or None."""
-        context = self._context
+        return denial is None
+
+    def _choose_for_retry(
+        self, request: PendingRequest, cost: float, retry_until: float
+    ) -> tuple[Endpoint | None, RetryDenial | None]:
+        """Returns the endpoint of another attempt, or why there can be none."""
         endpoint, delay = self._selection.choose(request, self._load.work_of(request))
-        in_time = context.now + delay < min(request.objective_at, request.deadline)
-        return endpoint if endpoint and self._budget.can_spend(cost) and in_time else None
+        if endpoint is None:
+            is_over = self._context.now >= request.deadline
+            is_used_up = len(request.attempts) >= request.max_attempts
+            return None, "not allowed" if is_over or is_used_up else "no endpoint"
+        if self._context.now + delay >= retry_until:
+            return None, "too late"
+        if not self._budget.can_spend(cost):
+            return None, "no budget"
+        return endpoint, None
 
     def _retry_or_end(self, request: PendingRequest, cost: float) -> None:
         """Starts another attempt if one is allowed and can be in time; else ends the request."""
-        context, endpoint = self._context, self._can_retry(request, cost)
+        context = self._context
+        endpoint, denial = self._choose_for_retry(request, cost, request.retry_until)
         if endpoint:
             self._budget.spend(cost)
             self.start(request, endpoint, self._load.work_of(request))
@@ -158,32 +152,9 @@
         request.ended = True
         if may_reject(request):
             wait = overload_retry_after(request.request_class)
-            reject(context, request.event.id, wait, "given up")
+            reject(context, request.event.id, wait, "given up", denial)
         else:
-            context.actions.append(FailRequest(request.event.id))
-
-    def cancel_hung(self) -> None:
-        """Cancels hung attempts while another can still be in time, so that a retry follows.
-
-        Applies only to requests that are safe to repeat, and only at low load, since all attempts
-        wait in an overload. If the endpoint is also silent, this counts as its failure.
-        """
-        context, load = self._context, self._load
-        if (
-            not context.settings.cancellation
-            or not self._budget.can_spend(1.0)
-            or not load.is_low()
-        ):
-            return
-        min_time = MAX_SILENCE_SHARE * load.tightest_objective
-        hung = self._pending.hanging_attempts(context.now, HANGING_FACTOR, min_time)
-        for request, number in hung:
-            in_time = context.now + load.mean_attempt_time < request.objective_at
-            if request.request_class.effect == "safe" and in_time:
-                context.actions.append(CancelAttempt(request.event.id, number))
-                endpoint = request.attempts[number].endpoint
-                if self._outliers.is_silent(endpoint):
-                    self._outliers.record_failure(endpoint, EVERY_CLASS)
+            context.actions.append(FailRequest(request.event.id, denial))
 
     def _learn(self, attempt: Attempt, request: PendingRequest, event: AttemptEnded) -> None:
         """Updates the load estimate, the learned work, and the endpoint's outlier records."""
--- a/hazelhollow/decisions/engine.py
+++ b/hazelhollow/decisions/engine.py
@@ -9,7 +9,8 @@
 | event                | handled by                                             |
 | -------------------- | ------------------------------------------------------ |
 | `RequestArrived`     | `admission`: quota, load shedding, the first attempt   |
-| `AttemptStarted`, `AnswerStalled` | `attempts`                                |
+| `AttemptStarted`     | `attempts`                                             |
+| `AnswersProgressed`, `AnswerStalled` | `supervision`                          |
 | `AttemptEnded`       | `attempts`: settlement, retry or the end               |
 | `ExecutionsReported` | `state/executions`                                     |
 | `ClientDisconnected` | `state/pending_requests`                               |
@@ -35,6 +36,7 @@
 from hazelhollow.decisions.events import (
     AccountReplicated,
     AllowanceGranted,
+    AnswersProgressed,
     AnswerStalled,
     AttemptEnded,
     AttemptStarted,
@@ -72,6 +74,7 @@
 from hazelhollow.decisions.state.peer_loads import PeerLoads
 from hazelhollow.decisions.state.pending_requests import PendingRequest, PendingRequests
 from hazelhollow.decisions.state.replicated_accounts import ReplicatedAccounts
+from hazelhollow.decisions.supervision import Supervision
 
 ROUND_TIMER = "beat"  # the name of the only timer
 
@@ -106,8 +109,9 @@
         self._handlers: dict[type, Callable[[Any], None]] = {
             RequestArrived: self.admission.arrive,
             AttemptStarted: self.attempts.answer_started,
-            AnswerStalled: self.attempts.answer_stalled,
-            AttemptEnded: self.attempts.end,
+            AnswersProgressed: self.supervision.answers_progressed,
+            AnswerStalled: self.supervision.answer_stalled,
+            AttemptEnded: self._attempt_ended,
             ExecutionsReported: self._executions_reported,
             ClientDisconnected: self._client_disconnected,
             AllowanceGranted: self.quota.grant_allowance,
@@ -165,6 +169,7 @@
             self.executions,
         )
         self.attempts = Attempts(context, self.pending, load, self.peer_loads, attempt_rules)
+        self.supervision = Supervision(context, self.pending, load, self.outliers, self.attempts)
         self.load_shedding = LoadShedding(context, load)
         admission_rules = AdmissionRules(
             self.quota,
@@ -250,13 +255,18 @@
         self.customer_accounts.forget_idle()
         self.gossip.enqueue_final_charges()
         self.gossip.announce_overdue(self._round_interval)
-        self.attempts.cancel_hung()
+        self.supervision.cancel_overdue()
         self.gossip.send_waiting()
         self.gossip.drop_old_updates()
         recent = context.now - self.load.tightest_objective
         in_flight = self.pending.attempts_in_flight_since(recent)
         self.load.learn_from_attempts_in_flight(in_flight, self._round_interval)
 
+    def _attempt_ended(self, event: AttemptEnded) -> None:
+        self.attempts.end(event)
+        if event.status == "cancelled":
+            self.supervision.cancel_next()
+
     def _client_disconnected(self, event: ClientDisconnected) -> None:
         self.pending.end(event.id)
 
--- a/hazelhollow/decisions/events.py
+++ b/hazelhollow/decisions/events.py
@@ -98,9 +98,27 @@
     endpoint: str
 
 
+class AnswerProgress(NamedTuple):
+    """A part of an attempt's answer has arrived, the latest bytes at the time `at`."""
+
+    id: str
+    attempt: int
+    at: float
+
+
+@dataclass(frozen=True)
+class AnswersProgressed:
+    """Bytes of incomplete answers have arrived since the event before this one.
+
+    It precedes `TimerFired`. Answers that were complete by then, or are forwarded, are left out.
+    """
+
+    answers: tuple[AnswerProgress, ...]
+
+
 @dataclass(frozen=True)
 class AnswerStalled:
-    """A part of an attempt's answer has arrived, and nothing more for some time."""
+    """A part of an attempt's short answer has arrived, and nothing more for some time."""
 
     id: str
     attempt: int
@@ -119,6 +137,7 @@
         final: Whether the client has its final answer.
         true_units: The true units of the request where they were an estimate; else 0.
         report: The endpoint's load report.
+        answer_time: Seconds since the first byte of its answer; 0 if the answer came at once.
     """
 
     id: str
@@ -129,6 +148,7 @@
     final: bool = False
     true_units: float = 0.0
     report: Mapping[str, float] = field(default_factory=dict)
+    answer_time: float = 0.0
 
 
 class ReportedExecution(NamedTuple):
@@ -314,6 +334,7 @@
     RequestArrived,
     AttemptStarted,
     AnswerStalled,
+    AnswersProgressed,
     AttemptEnded,
     ExecutionsReported,
     ClientDisconnected,
--- a/hazelhollow/decisions/outlier_detection.py
+++ b/hazelhollow/decisions/outlier_detection.py
@@ -23,9 +23,10 @@
 further one lasts twice as long, up to `MAX_EJECTION_TIME_S`. An answer in time resets the next
 ejection time to the shortest. Only the first of consecutive ejections is logged.
 
-An endpoint that has work and has answered nothing for `MAX_SILENCE_SHARE` of the tightest objective
-gets no new work either. Ejected and silent endpoints do get work if endpoint selection finds no
-other endpoint, or, in a large fleet, none in its samples (the table in `endpoint_selection.py`).
+An endpoint that has work and has sent no byte of an answer for `MAX_SILENCE_SHARE` of the tightest
+objective gets no new work either. Ejected and silent endpoints do get work if endpoint selection
+finds no other endpoint, or, in a large fleet, none in its samples (the table in
+`endpoint_selection.py`).
 """
 
 from __future__ import annotations
@@ -119,10 +120,13 @@
                 return False
         return not self.is_silent(endpoint)
 
+    def max_silence(self) -> float:
+        """Returns the seconds after which an endpoint, or an answer, counts as silent."""
+        return MAX_SILENCE_SHARE * self._load.tightest_objective
+
     def is_silent(self, endpoint: Endpoint) -> bool:
-        """Whether an endpoint has work and has answered nothing for too long."""
-        span = MAX_SILENCE_SHARE * self._load.tightest_objective
-        return endpoint.is_silent(self._context.now, span)
+        """Whether an endpoint has work and has sent no byte of an answer for too long."""
+        return endpoint.is_silent(self._context.now, self.max_silence())
 
     def record_failure(self, endpoint: Endpoint, class_name: str, weight: float = 1.0) -> None:
         """Counts a failure; ejects the endpoint at the threshold."""
--- a/hazelhollow/decisions/rejections.py
+++ b/hazelhollow/decisions/rejections.py
@@ -29,7 +29,7 @@
 
 from typing import Literal
 
-from hazelhollow.decisions.actions import RejectRequest
+from hazelhollow.decisions.actions import RejectRequest, RetryDenial
 from hazelhollow.decisions.context import DecisionContext
 from hazelhollow.decisions.settings import RequestClass
 
@@ -51,10 +51,16 @@
 OVERLOAD_RETRY_AFTER_SHARE = 0.25
 
 
-def reject(context: DecisionContext, request_id: str, seconds: float, reason: Reason) -> None:
+def reject(
+    context: DecisionContext,
+    request_id: str,
+    seconds: float,
+    reason: Reason,
+    retry_denial: RetryDenial | None = None,
+) -> None:
     """Rejects a request with a Retry-After of `seconds`, capped by the settings."""
     retry_after = min(max(seconds, 0.0), context.settings.max_retry_after)
-    context.actions.append(RejectRequest(request_id, retry_after, reason))
+    context.actions.append(RejectRequest(request_id, retry_after, reason, retry_denial))
 
 
 def overload_retry_after(request_class: RequestClass) -> float:
--- a/hazelhollow/decisions/state/endpoint.py
+++ b/hazelhollow/decisions/state/endpoint.py
@@ -60,8 +60,8 @@
         work_factor: The time that the endpoint takes for its work, relative to the class's mean.
         tag: The hash of its name that stands for it in messages; several endpoints may share one.
         in_flight: Seconds of work of each attempt in flight, by request id and attempt number.
-        last_progress_at: The time of its last answer, or of the last attempt that started while
-            none was in flight.
+        last_progress_at: The time of its last answer, of the last bytes of an incomplete one, or of
+            the last attempt that started while none was in flight.
         outlier_records: Its recent failures by class, and under "" those that count for every
             class.
     """
@@ -108,7 +108,7 @@
         return self._recent_work
 
     def is_silent(self, now: float, span: float) -> bool:
-        """Whether it has work in flight and has not answered for more than `span` seconds."""
+        """Whether it has work in flight and has sent nothing for more than `span` seconds."""
         return bool(self.in_flight) and now - self.last_progress_at > span
 
     def is_warming_up(self, now: float, settings: Settings) -> bool:
--- a/hazelhollow/decisions/state/pending_requests.py
+++ b/hazelhollow/decisions/state/pending_requests.py
@@ -10,7 +10,7 @@
 | attempting | `AttemptEnded`, another attempt is in flight          | attempting |
 | attempting | `AttemptEnded`, `retry` allows another attempt        | attempting |
 | attempting | `AttemptEnded`, it does not: a rejection or a failure | ended      |
-| attempting | an attempt hangs and is cancelled                     | attempting |
+| attempting | an attempt is cancelled for another (`supervision`)   | attempting |
 | attempting | `ClientDisconnected`                                  | ended      |
 | ended      | the last attempt in flight ends                       | forgotten  |
 
@@ -44,6 +44,9 @@
         in_flight: Whether it has not ended yet.
         may_have_run: Whether the endpoint may have executed it.
         is_answering: Whether its answer has begun and is being forwarded.
+        progressed_at: When the last bytes of its incomplete answer arrived; 0 if none have.
+        has_stalled: Whether it was cancelled since a part of a short answer stayed alone.
+        is_cancelled: Whether its cancellation was requested.
         execution: Where and when it runs, by the endpoint's entry at its start.
     """
 
@@ -55,6 +58,9 @@
         "in_flight",
         "may_have_run",
         "is_answering",
+        "progressed_at",
+        "has_stalled",
+        "is_cancelled",
         "execution",
     )
 
@@ -67,7 +73,12 @@
             backlog,
         )
         self.in_flight = self.may_have_run = True
-        self.is_answering = False
+        self.is_answering = self.has_stalled = self.is_cancelled = False
+        self.progressed_at = 0.0
+
+    def has_answer_bytes(self) -> bool:
+        """Whether any byte of its answer is here."""
+        return self.is_answering or self.progressed_at > 0
 
     def expected_time(self) -> float:
         """Returns its expected duration in seconds."""
@@ -86,6 +97,7 @@
         arrived_at: The time of its arrival.
         objective_at: The time at which its latency objective ends.
         deadline: The time at which the client stops waiting for the answer.
+        retry_until: The time by which another attempt must be expected to end.
         attempts: The attempts in the order of their start; an attempt's number is its index.
         size: Its units, rounded and limited to `MAX_LEARNED_SIZE`.
         within_quota: Whether the quota has room for it and is charged if it is admitted.
@@ -102,6 +114,7 @@
         "arrived_at",
         "objective_at",
         "deadline",
+        "retry_until",
         "attempts",
         "size",
         "within_quota",
@@ -123,6 +136,7 @@
         self.arrived_at = now
         self.objective_at = now + request_class.latency_objective
         self.deadline = now + event.time_left
+        self.retry_until = min(self.objective_at, self.deadline)
         self.attempts: list[Attempt] = []
         self.size = min(round(event.units), MAX_LEARNED_SIZE)
         self.within_quota = self.ended = self.settled = False
@@ -188,7 +202,7 @@
             request.account.open_requests -= 1
 
     def attempts_in_flight_since(self, start: float) -> list[Attempt]:
-        """Returns the attempts in flight that started after `start`."""
+        """Returns the attempts in flight without an answer that started after `start`."""
         requests = self.by_id.values()
         return [
             a
@@ -200,7 +214,7 @@
     def hanging_attempts(
         self, now: float, factor: float, min_time: float
     ) -> list[tuple[PendingRequest, int]]:
-        """Returns the requests and numbers of attempts that have been in flight for too long.
+        """Returns the requests and numbers of attempts without an answer for too long.
 
         That is longer than both `factor` times the expected duration and `min_time` seconds.
         """
@@ -210,10 +224,28 @@
             if not request.ended
             for number, attempt in enumerate(request.attempts)
             if attempt.in_flight
-            and not attempt.is_answering
+            and not attempt.has_answer_bytes()
             and now - attempt.started_at > max(factor * attempt.expected_time(), min_time)
         ]
 
+    def begun_attempts(self) -> list[tuple[PendingRequest, int]]:
+        """Returns the requests and numbers of attempts with a part of an answer, not forwarded."""
+        return [
+            (request, number)
+            for request in self.by_id.values()
+            if not request.ended
+            for number, attempt in enumerate(request.attempts)
+            if attempt.in_flight and attempt.progressed_at and not attempt.is_answering
+        ]
+
+    def attempt_in_flight(self, request_id: str, number: int) -> Attempt | None:
+        """Returns an attempt that has not ended; None if there is none of that number."""
+        request = self.by_id.get(request_id)
+        if request is None or not 0 <= number < len(request.attempts):
+            return None
+        attempt = request.attempts[number]
+        return attempt if attempt.in_flight else None
+
     def work_in_flight(self, endpoints: dict[str, Endpoint]) -> dict[str, float]:
         """Returns the seconds of work in flight at the given endpoints, by their tags."""
         busy = {a.endpoint for r in self.by_id.values() for a in r.attempts if a.in_flight}
--- a/hazelhollow/net/answer_receiver.py
+++ b/hazelhollow/net/answer_receiver.py
@@ -58,7 +58,10 @@
                 data = sock.read(room)
                 if isinstance(data, CloseReason):
                     return data
-                connection.parser.feed(data or b"")
+                if data:
+                    connection.parser.feed(data)
+                    if connection.attempt:
+                        connection.attempt.received_bytes += len(data)
             if connection.attempt is None:
                 continue
             try:
@@ -111,6 +114,8 @@
                         connection.partial_answer_at = 0.0
                     elif has_new_bytes or not connection.partial_answer_at:
                         connection.partial_answer_at = self._scheduler.clock()
+                        if not connection.is_forwarding:
+                            connection.attempt.note_progress(connection.partial_answer_at)
                 return
             self._handle_event(connection, connection.attempt, event)
 
--- a/hazelhollow/net/attempts.py
+++ b/hazelhollow/net/attempts.py
@@ -90,8 +90,11 @@
     def write(self, data: bytes) -> None:
         """Takes a piece of the value, at most `room` bytes."""
 
+    def progressed(self, at: float) -> None:
+        """Reports that bytes of an incomplete answer arrived at that time (clock)."""
+
     def stalled(self) -> None:
-        """Reports that no byte of an incomplete collected value has arrived for some time."""
+        """Reports that no byte of an incomplete short answer has arrived for some time."""
 
 
 class Attempt:
@@ -105,6 +108,9 @@
             it returns that the request may be sent.
         sink: Takes a value that is too long to be collected; None if nothing can take it.
         execution: Where the request runs, if it must not run twice; else None.
+        answer_began_at: When a part of the answer was first here alone (clock); 0 if none was.
+        progressed_at: When the last bytes of the incomplete answer arrived (clock); 0 if none have.
+        received_bytes: How many bytes of the answer have arrived.
         forwarding_since: When the value began to be forwarded (clock); 0 if it has not.
         connection: The connection that carries the attempt; None if it never got one.
         collects_value: Whether a long value is collected, or waits for the memory for it.
@@ -122,6 +128,9 @@
         "before_sending",
         "sink",
         "execution",
+        "answer_began_at",
+        "progressed_at",
+        "received_bytes",
         "forwarding_since",
         "connection",
         "collects_value",
@@ -144,7 +153,8 @@
         self.before_sending: Callable[[], bool] | None = before_sending
         self.sink: ValueSink | None = None
         self.execution: Execution | None = None
-        self.forwarding_since = 0.0
+        self.answer_began_at = self.progressed_at = self.forwarding_since = 0.0
+        self.received_bytes = 0
         self.connection: PooledConnection | None = None
         self.collects_value = False
         self.reserved_bytes = 0
@@ -158,6 +168,18 @@
         attempt.on_result = None
         return attempt
 
+    def note_progress(self, now: float) -> None:
+        """Notes that bytes of the answer have arrived, which is incomplete and not forwarded."""
+        self.progressed_at = now
+        if not self.answer_began_at:
+            self.answer_began_at = now
+        if self.sink:
+            self.sink.progressed(now)
+
+    def answer_time(self, ended_at: float) -> float:
+        """Returns the seconds from the first part of the answer to its end; 0 without parts."""
+        return ended_at - self.answer_began_at if self.answer_began_at else 0.0
+
     def finish(self, result: AttemptResult) -> None:
         """Delivers the result; later calls have no effect."""
         on_result, self.on_result, self.before_sending = self.on_result, None, None
--- a/hazelhollow/net/connection_pool.py
+++ b/hazelhollow/net/connection_pool.py
@@ -25,7 +25,8 @@
 # timeout the endpoint might close it while a request is in transit.
 IDLE_TIMEOUT_SHARE = 0.5
 SWEEP_INTERVAL_S = 0.25  # between checks for idle connections and incomplete answers
-# An incomplete collected value without a further byte for this long is reported as stalled.
+# An incomplete short answer without a further byte for this long is reported as stalled. Long ones
+# may pause until the time of their request is nearly over (`decisions/supervision.py`).
 PARTIAL_ANSWER_TIMEOUT_S = 0.5
 # A forwarded value without a further byte for this long has ended, if the client would take more.
 # Endpoints pause for 2 s and more; clients leave some 3.6 s after their time if nothing ends it.
@@ -304,7 +305,10 @@
             if connection.is_forwarding:
                 if now - silent_since >= FORWARDING_STALL_S:
                     self.close_connection(connection, CloseReason.STALLED)
-            elif now - silent_since >= PARTIAL_ANSWER_TIMEOUT_S:
+            elif (
+                now - silent_since >= PARTIAL_ANSWER_TIMEOUT_S
+                and not connection.has_long_value_begun()
+            ):
                 if attempt.sink:
                     attempt.sink.stalled()
                 else:
--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -90,6 +90,7 @@
         self.sampled_ids, self.max_samples = list[str](), 0
         self.open_requests: dict[str, OpenRequest] = {}
         self.max_settled_units = 0.0
+        self._progress: dict[tuple[str, int], float] = {}  # by request and attempt: time
         self._events: deque[tuple[api.Event, OpenRequest | None]] = deque()
         self._in_engine = False
         self._log = RateLimitedLog(log, scheduler.clock)
@@ -192,6 +193,10 @@
         self._handle(api.GossipReceived(sender, text))
 
     def _timer_fired(self, name: str) -> None:
+        if self._progress:
+            answers = [api.AnswerProgress(*key, at) for key, at in self._progress.items()]
+            self._progress.clear()
+            self._handle(api.AnswersProgressed(tuple(answers)))
         self._handle(api.TimerFired(name))
 
     def _expire(self, opened: OpenRequest) -> None:
@@ -208,12 +213,15 @@
     def _attempt_ended(self, opened: OpenRequest, number: int, result: AttemptResult) -> None:
         attempt, now = opened.attempts[number], self._scheduler.clock()
         opened.attempts_out -= 1
+        if attempt.answer_began_at:
+            self._progress.pop((opened.id, number), None)
         release_collected(opened, attempt)
         self._stats.outcomes[result.status] += 1
         if result.status in NEVER_RAN:
             self._retract_execution(opened, attempt.execution, attempt.started_at)
         # The time that a client takes to read a long value says nothing about the endpoint.
-        elapsed = (attempt.forwarding_since or now) - attempt.started_at
+        ended_at = attempt.forwarding_since or now
+        elapsed = ended_at - attempt.started_at
         if opened.forwarding is attempt:
             self._end_forwarding(opened, result.status)
         elif result.status == "ok" and result.value is not None and not opened.answered:
@@ -229,6 +237,7 @@
             opened.answered,
             self._settled_units(result),
             read_report(result.report),
+            attempt.answer_time(ended_at),
         )
         self._handle(event, opened)
 
@@ -281,6 +290,13 @@
         self._stats.reply(opened.parsed.request.class_name, "error")
         opened.responder.break_value()
 
+    def answer_progressed(self, opened: OpenRequest, number: int, at: float) -> None:
+        """Notes that a part of an answer has arrived; the engine is told before its next round.
+
+        Most answers are complete by then, so that it is told of the few that come slowly.
+        """
+        self._progress[opened.id, number] = at
+
     def answer_stalled(self, opened: OpenRequest, number: int) -> None:
         """Handles a short value that stopped arriving: the engine may try another endpoint."""
         if opened.answered:
@@ -367,24 +383,52 @@
 
     def _cancel(self, action: api.CancelAttempt) -> None:
         opened = self.open_requests.get(action.id)
-        if (
-            opened
-            and action.attempt < len(opened.attempts)
-            and opened.attempts[action.attempt] is not opened.forwarding
-        ):
-            self._pool.abort(opened.attempts[action.attempt], CloseReason.CANCELLED)
+        if opened is None or action.attempt >= len(opened.attempts):
+            return
+        attempt = opened.attempts[action.attempt]
+        if attempt is opened.forwarding or attempt.on_result is None:
+            return
+        now = self._scheduler.clock()
+        self._stats.cancellations[action.reason] += 1
+        self._log.info(
+            "request %s: cancelling attempt %d at endpoint %s (%s) after %.3f s, %d bytes of its "
+            "answer have come, the last %.3f s ago",
+            opened.id,
+            action.attempt,
+            attempt.endpoint,
+            action.reason,
+            now - attempt.started_at,
+            attempt.received_bytes,
+            now - (attempt.progressed_at or attempt.started_at),
+        )
+        self._pool.abort(attempt, CloseReason.CANCELLED)
 
     def _reject(self, action: api.RejectRequest) -> None:
         opened = self._mark_answered(action.id)
         if opened:
             self._stats.refused += 1
             self._stats.refusals[action.reason] += 1
+            self._note_retry_denial(opened, action.retry_denial)
             self._stats.reply(opened.parsed.request.class_name, "overload")
             opened.responder.send_busy(math.ceil(action.retry_after * 1000))
 
+    def _note_retry_denial(self, opened: OpenRequest, denial: api.RetryDenial | None) -> None:
+        """Counts and logs why a request ends without another attempt."""
+        if denial is None:
+            return
+        self._stats.retry_denials[denial] += 1
+        self._log.info(
+            "request %s: no further attempt (%s) with %.3f s left, after attempts at %s",
+            opened.id,
+            denial,
+            opened.deadline - self._scheduler.clock(),
+            ", ".join(attempt.endpoint for attempt in opened.attempts),
+        )
+
     def _fail(self, action: api.FailRequest) -> None:
         opened = self._mark_answered(action.id)
         if opened:
+            self._note_retry_denial(opened, action.retry_denial)
             self._stats.failed += 1
             self._stats.reply(opened.parsed.request.class_name, "error")
             opened.responder.send_failure()
--- a/hazelhollow/net/pooled_connection.py
+++ b/hazelhollow/net/pooled_connection.py
@@ -83,6 +83,11 @@
         """Whether the attempt's value is being forwarded to its sink."""
         return self.attempt is not None and self.attempt.forwarding_since > 0
 
+    def has_long_value_begun(self) -> bool:
+        """Whether the head of a value is here that is too long to be collected by default."""
+        collects = self.attempt is not None and self.attempt.collects_value
+        return self.announced_length > 0 or collects
+
     def set_stream(self, new: stream.Stream) -> None:
         """Sets the socket before it is connected, so that it can be closed while connecting."""
         self.stream = new
--- a/hazelhollow/net/stats.py
+++ b/hazelhollow/net/stats.py
@@ -49,6 +49,8 @@
         self.ok_seconds = 0.0  # total duration of successful attempts
         self.settled = 0  # answers that reported the units used
         self.figures_bad = 0  # answers with invalid usage figures
+        self.cancellations: Counter[str] = Counter()  # by the engine's reason
+        self.retry_denials: Counter[str] = Counter()  # why a request had no further attempt
         self.outcomes: Counter[str] = Counter()
         self.endings: Counter[CloseReason] = Counter()
         # Discovery
--- a/hazelhollow/net/value_forwarding.py
+++ b/hazelhollow/net/value_forwarding.py
@@ -99,6 +99,10 @@
         """Passes a piece of the value on."""
         self._opened.responder.write_value(data)
 
+    def progressed(self, at: float) -> None:
+        """Reports that bytes of an incomplete answer arrived at that time."""
+        self._driver.answer_progressed(self._opened, self._number, at)
+
     def stalled(self) -> None:
-        """Reports that a collected value does not arrive any further."""
+        """Reports that a short answer does not arrive any further."""
         self._driver.answer_stalled(self._opened, self._number)
--- a/tests/net/test_request_states.py
+++ b/tests/net/test_request_states.py
@@ -4,13 +4,14 @@
 
 import re
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from hazelhollow.net.close_reason import CloseReason
 from hazelhollow.net.connection_pool import FORWARDING_STALL_S, MAX_WITHHELD_S
-from tests.net.scenario import Stage
+from tests.net.scenario import SETTINGS, Stage
 from tests.net.test_client_memory import fill
 from tests.net.test_connection_ends import block_connects
 from tests.net.test_requests_behind_values import (
@@ -43,6 +44,11 @@
     stage.settle()
 
 
+def learn_quick_answers(stage: Stage) -> None:
+    for endpoint in stage.service.engine.endpoints.values():
+        endpoint.work_factor = 0.05
+
+
 def nothing_is_open(stage: Stage) -> bool:
     return not stage.service.engine_driver.open_requests
 
@@ -177,6 +183,19 @@
     assert nothing_is_open(stage)
 
 
+@state("attempt without an answer, another can start")
+def attempt_without_an_answer_another_can_start() -> None:
+    stage = Stage(hosts=1, settings=replace(SETTINGS, cancellation=True))
+    learn_quick_answers(stage)
+    stage.play(f"a send {ask(1)}\ns1 expect {ask(1)}\nwait 0.55\na expect nothing")
+    for _ in range(3):
+        stage.service.engine.load.queue_wait = 0.0  # other requests are answered at once
+        stage.play("wait 0.05")
+    stage.play(f"s1.1 expect closed\ns1.2 expect {ask(1, 350)}\ns1.2 send {VALUE}")
+    stage.play("a expect $2\\r\\nhi")
+    assert nothing_is_open(stage)
+
+
 @state("part of a short answer")
 def part_of_a_short_answer() -> None:
     stage = Stage(hosts=1)
@@ -194,6 +213,17 @@
     assert nothing_is_open(stage) and not stage.service.stats.forwarded
 
 
+@state("head of a long answer, another can start")
+def head_of_a_long_answer_another_can_start() -> None:
+    stage = Stage(hosts=1)
+    learn_quick_answers(stage)
+    begin_long_value(stage, 0)
+    stage.play("wait 0.65\na expect nothing\nwait 0.15")
+    stage.play(f"s1.1 expect closed\ns1.2 expect {ask(1, 250)}\ns1.2 send {VALUE}")
+    stage.play("a expect $2\\r\\nhi")
+    assert nothing_is_open(stage)
+
+
 @state("long value with requests behind")
 def long_value_with_requests_behind() -> None:
     stage = Stage(hosts=1, settings=ONE_ATTEMPT)
