What is learned of endpoints counts answers by their first byte

Answers that came in drops for longer than the objective counted as failures of their endpoints, which were ejected; as long as they came they counted as attempts that wait, so that the limiter took them for an overload, in which it sheds load.

Attempts now count until the first byte of their answer; what flows at the deadline is no failure, what was given up as silent is. The learned work still takes the whole time.

--- a/hazelhollow/decisions/attempts.py
+++ b/hazelhollow/decisions/attempts.py
@@ -159,18 +159,21 @@
     def _learn(self, attempt: Attempt, request: PendingRequest, event: AttemptEnded) -> None:
         """Updates the load estimate, the learned work, and the endpoint's outlier records."""
         load, endpoint, status = self._load, attempt.endpoint, event.status
-        waited = event.elapsed - attempt.work > load.queue_wait
+        time_to_answer = event.elapsed - event.answer_time
+        waited = time_to_answer - attempt.work > load.queue_wait
         if status in ("ok", "error", "full"):
             endpoint.last_progress_at = self._context.now
         # Unless there is an overload, a late answer counts as a failure of this endpoint regardless
         # of its cause, since the endpoint may stop answering next. In an overload all answers are
         # late, and ejection would make the overload worse.
-        slow = event.elapsed > request.request_class.latency_objective and not load.is_overloaded()
+        slow = time_to_answer > request.request_class.latency_objective and not load.is_overloaded()
         if status == "ok":
             load.learn_answer(attempt, request, event.elapsed)
             if not slow:
                 self._outliers.record_success(endpoint, request.request_class.name)
-        if (slow or status != "ok") and status not in ("cancelled", "never_sent"):
+        still_answers = status == "timeout" and self._outliers.has_progressed(attempt)
+        blameless = still_answers or status in ("cancelled", "never_sent")
+        if (slow or status != "ok") and not blameless:
             # Attempts that failed immediately did not wait: a lost zone or a faulty endpoint must
             # not count as an overload.
             waited = waited or status in ("full", "timeout")
--- a/hazelhollow/decisions/outlier_detection.py
+++ b/hazelhollow/decisions/outlier_detection.py
@@ -35,6 +35,7 @@
 from hazelhollow.decisions.context import DecisionContext
 from hazelhollow.decisions.load_estimate import LoadEstimate
 from hazelhollow.decisions.state.endpoint import Endpoint
+from hazelhollow.decisions.state.pending_requests import Attempt
 
 EJECTION_THRESHOLD = 2.5  # failures; one or two may be coincidence
 BASE_EJECTION_TIME_S = 1.0
@@ -128,6 +129,10 @@
         """Whether an endpoint has work and has sent no byte of an answer for too long."""
         return endpoint.is_silent(self._context.now, self.max_silence())
 
+    def has_progressed(self, attempt: Attempt) -> bool:
+        """Whether bytes of an attempt's incomplete answer have just arrived."""
+        return self._context.now - attempt.progressed_at <= self.max_silence()
+
     def record_failure(self, endpoint: Endpoint, class_name: str, weight: float = 1.0) -> None:
         """Counts a failure; ejects the endpoint at the threshold."""
         now = self._context.now
--- a/hazelhollow/decisions/state/pending_requests.py
+++ b/hazelhollow/decisions/state/pending_requests.py
@@ -208,7 +208,7 @@
             a
             for r in requests
             for a in r.attempts
-            if a.in_flight and not a.is_answering and a.started_at > start
+            if a.in_flight and not a.has_answer_bytes() and a.started_at > start
         ]
 
     def hanging_attempts(
--- a/tests/decisions/test_supervision.py
+++ b/tests/decisions/test_supervision.py
@@ -125,6 +125,34 @@
     assert cancel(engine, api.AnswerStalled(send.id, 1), START + 0.9)[0] == []
 
 
+def test_answers_that_come_slowly_are_taken_for_an_overload_or_a_faulty_endpoint() -> None:
+    """Their parts come for 1.5 s; the endpoints began to answer at once."""
+    engine = quick_engine()
+    sends = begin(engine, 6)
+    for send in sends:
+        engine.handle(progressed(send, START + 0.03), START + 0.05)
+    for tenth in range(1, 15):
+        engine.handle(ROUND, START + tenth / 10)
+    assert engine.load.is_low()
+    for send in sends:
+        ended = api.AttemptEnded(
+            send.id, 0, send.endpoint, "ok", 1.5, True, answer_time=1.47
+        )  # fmt: skip
+        engine.handle(ended, START + 1.5)
+    assert engine.load.is_low()
+    assert not any(engine.endpoints[send.endpoint].outlier_records for send in sends)
+
+
+@pytest.mark.parametrize("is_flowing", [True, False])
+def test_answer_that_flows_at_the_deadline_counts_as_a_failure(is_flowing: bool) -> None:
+    engine = quick_engine()
+    (send,) = begin(engine)
+    engine.handle(progressed(send, START + (2.9 if is_flowing else 0.1)), START + 2.9)
+    ended = api.AttemptEnded(send.id, 0, send.endpoint, "timeout", 3.0, False)
+    engine.handle(ended, START + 3.0)
+    assert bool(engine.endpoints[send.endpoint].outlier_records) is not is_flowing
+
+
 def test_endpoint_whose_answer_flows_is_silent_for_other_requests() -> None:
     engine = quick_engine()
     (send,) = begin(engine)
