Soak: answers that come slowly, many at once, and endpoints that read slowly

With expected work of 0.34 s the last try began with 0.67 s left: it is at most 0.5 s now. And 'told time' judged what an endpoint had been told against the moment at which it had read the whole request; the trace of 45 cases shows endpoints that had taken 0.4 to 4 s to read, with the right time in the first bytes, so the rule takes the moment of the first byte; a case each way holds that.

--- a/hazelhollow/decisions/supervision.py
+++ b/hazelhollow/decisions/supervision.py
@@ -7,7 +7,7 @@
 | `stalled`  | a part of a short answer             | no byte for 0.5 s (`AnswerStalled`), once |
 |            |                                      | per request                               |
 | `last try` | a part of any answer, not forwarded  | no byte for `max_silence`, and only       |
-|            |                                      | `LAST_TRY_S` of the request's time left   |
+|            |                                      | 0.3 to 0.5 s of the request's time left   |
 
 Once a byte of an answer is here, the age of the attempt says nothing about it: its silence counts
 from the last byte. A part of an answer that pauses is given up late, since it may be all that any
@@ -33,9 +33,10 @@
 from hazelhollow.decisions.retry import HANGING_FACTOR
 from hazelhollow.decisions.state.pending_requests import Attempt, PendingRequest, PendingRequests
 
-# Of a request's time, in which another attempt can still be answered: the larger of these.
-LAST_TRY_S = 0.3
-LAST_TRY_FACTOR = 2.0  # of the expected work
+# The rest of a request's time in which another attempt can still be answered: a multiple of its
+# expected work, within bounds.
+LAST_TRY_FACTOR = 2.0
+MIN_LAST_TRY_S, MAX_LAST_TRY_S = 0.3, 0.5
 
 
 class OverdueAttempt(NamedTuple):
@@ -113,7 +114,8 @@
         """Yields attempts whose answers have stopped, if this is the last time for another one."""
         now, max_silence = self._context.now, self._outliers.max_silence()
         for request, number in self._pending.begun_attempts():
-            last_try = max(LAST_TRY_S, LAST_TRY_FACTOR * self._load.work_of(request))
+            last_try = LAST_TRY_FACTOR * self._load.work_of(request)
+            last_try = min(max(last_try, MIN_LAST_TRY_S), MAX_LAST_TRY_S)
             is_silent = now - request.attempts[number].progressed_at > max_silence
             if is_silent and request.deadline - now <= last_try:
                 yield OverdueAttempt(request, number, "last try")
--- a/hazelhollow/soak/answers.py
+++ b/hazelhollow/soak/answers.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 
 from hazelhollow.soak.plan import ANSWER_KINDS, FAULT_SHARE, SoakPlan
-from hazelhollow.soak.record import TIMED_BY_FIRST_BYTE, SoakRecord, value_for
+from hazelhollow.soak.record import TIMED_BY_FIRST_BYTE, SlowAnswer, SoakRecord, value_for
 from hazelhollow.soak.rig import Rig
 from hazelhollow.standins.answer_script import AnswerScript, End, Pause, Write, answer, in_pieces
 
@@ -14,6 +14,7 @@
 HELD_S = 0.45  # by an endpoint, for a request whose client asks for it
 BREAK_S = 0.3  # from the first part of a value to its end
 FAIL_S = 0.4  # until a request of a client that has left is answered with an error
+DROP_INTERVAL_S = 0.1  # of a slow answer
 MAX_DROP_PAUSE_S = 1.7  # within a long value
 LATE_VALUE_S = 1.0  # after its head
 FIGURES, REPORT = b"used=1", b"inflight=1,queue=0,util=0.1"
@@ -45,6 +46,9 @@
         digits = request_id[ID_DIGITS:]
         value = value_for(request_id, int(digits, 16) if digits else 0)
         whole = answer(value, FIGURES, REPORT)
+        slow = self._record.slow_answers.get(request_id)
+        if slow:
+            return _slowly(whole, len(b"*3\r\n$%d\r\n" % len(value)), slow)
         if request_id in self._record.held_ids:
             return [Pause(HELD_S), Write(whole)]
         if request_id in self._record.breaking_ids:
@@ -103,3 +107,10 @@
             steps.append(Write(whole[start:cut]))
             start = cut
         return steps
+
+
+def _slowly(whole: bytes, head_size: int, slow: SlowAnswer) -> AnswerScript:
+    if slow.is_late:
+        return [Write(whole[:head_size]), Pause(slow.seconds), Write(whole[head_size:])]
+    pieces = max(2, round(slow.seconds / DROP_INTERVAL_S))
+    return in_pieces(whole, pieces, slow.seconds / pieces)
--- a/hazelhollow/soak/checker.py
+++ b/hazelhollow/soak/checker.py
@@ -12,6 +12,7 @@
 | unsound | a request that is not allowed gets an error or a close within 3 s, and never runs |
 | begun | a long value that has begun goes on while its server gives more; if it stops, the client |
 |  | is told by a close before it leaves, 3.6 s later |
+| cut off | an answer that comes slowly, but in time, is not cut off for another attempt |
 | memory | a process stays within its limit |
 | told time | a server is told at most what is left to the client, with 0.15 s of slack; the pages |
 |  | allow for a process that is held up between reading its clock and writing |
@@ -50,7 +51,8 @@
 WINDOW_S = 5.0 + 0.05
 PATIENCE_S = 3.6  # for which a client waits for a further byte of a value that has begun
 MAX_MEMORY_KB = LIMITER_MEMORY_MB * 1024
-TIMED_RULES = ("late", "begun", "gone", "told time", "drain", "unsound")
+TIMED_RULES = ("late", "begun", "cut off", "gone", "told time", "drain", "unsound")
+LAST_TRY_S = 0.55  # of a client's time: an answer that is silent then may lose its attempt
 CROSSING_S = 0.02  # between the end of an answer and when its client notes it
 KILL_SLACK_S = 0.3  # between the end of a process and when its clients note it
 MAX_OWN_LATENESS_S = 0.05  # beyond it the run's own figures are not exact enough to judge
@@ -84,13 +86,14 @@
         if request_id in shared_ids:  # its runs may be those of another client's request
             continue
         found += _check_executions(requests, runs[request_id])
+        found += _check_slow_answer(requests[0], runs[request_id], record)
         found += _check_behind(requests, runs[request_id], record)
         found += _check_told_time(requests, runs[request_id], record.pauses)
     found += _check_processes(record)
     drained = {drain.endpoint: drain.told_at for drain in record.drains}
     for execution in record.executions:
         told_at = drained.get(execution.endpoint)
-        if told_at is not None and execution.at > told_at + DRAIN_GRACE_S:
+        if told_at is not None and execution.received_at() > told_at + DRAIN_GRACE_S:
             found.append(Violation("drain", f"{execution} {execution.at - told_at:.3f} s after"))
     return found
 
@@ -160,6 +163,19 @@
         yield Violation("behind", f"no answer: {request}, {runs}")
 
 
+def _check_slow_answer(
+    request: RequestRecord, runs: list[ExecutionRecord], record: SoakRecord
+) -> Iterator[Violation]:
+    """Requests that no endpoint has got may be refused: the limiter sheds load."""
+    slow = record.slow_answers.get(request.id)
+    if slow is None or not runs or _was_killed(request, record):
+        return
+    if runs[0].at + slow.seconds > request.sent_at + request.wait - LAST_TRY_S:
+        return
+    if request.outcome != "value" or len(runs) > 1:
+        yield Violation("cut off", f"{request}, {runs}, {slow}")
+
+
 def _was_killed(request: RequestRecord, record: SoakRecord) -> bool:
     """Whether the end of a process ended its connection."""
     return any(abs(end.at - request.ended_at) < KILL_SLACK_S for end in record.exits)
@@ -210,7 +226,7 @@
             yield Violation("once", f"{first.id} ran after its window: {ran}")
     if all(request.left_at for request in requests):
         left_at = max(request.left_at for request in requests)
-        late = [run for run in runs if run.at > left_at + GONE_GRACE_S + TOLD_SLACK_S]
+        late = [run for run in runs if run.received_at() > left_at + GONE_GRACE_S + TOLD_SLACK_S]
         if late:
             yield Violation("gone", f"{first.id} left at {left_at:.3f}: {late}")
 
@@ -222,7 +238,7 @@
     if len(requests) > 1 or not first.sent_at:
         return
     for run in runs:
-        left = first.sent_at + first.wait - run.at
+        left = first.sent_at + first.wait - run.received_at()
         held_up = sum(
             max(0.0, min(pause.ended, run.at) - max(pause.began, first.sent_at)) for pause in pauses
         )
--- a/hazelhollow/soak/clients.py
+++ b/hazelhollow/soak/clients.py
@@ -25,6 +25,7 @@
     digest,
 )
 from hazelhollow.soak.rig import Rig
+from hazelhollow.soak.slow_clients import ask_for_slow_answers, send_large_orders
 from hazelhollow.soak.wire import Kind, UnsoundAnswerError, encode
 
 CLASS_NAMES = (SAFE, KEYED, UNSAFE)
@@ -40,6 +41,8 @@
     ("client: other id", send_under_open_id),
     ("client: orders behind", send_orders_behind),
     ("client: much and gone", send_much_and_leave),
+    ("client: slow answers", ask_for_slow_answers),
+    ("client: large orders", send_large_orders),
 )
 LONG_KINDS = ("server: long", "server: heads", "server: drips", "server: stops")
 
--- a/hazelhollow/soak/plan.py
+++ b/hazelhollow/soak/plan.py
@@ -17,6 +17,7 @@
 LATER_CLIENT_KINDS = ("bytes behind", "other id", "no reader")
 LATER_SERVER_KINDS = ("heads", "drips", "stops")
 PIPELINING_KINDS = ("orders behind", "much and gone")
+SLOW_KINDS = ("client: slow answers", "client: large orders", "server: slow reads")
 ANSWER_KINDS = ("pieces", "reset", "hang", "error", "busy", "unsound", *LATER_SERVER_KINDS)
 OPERATION_KINDS = ("reload", "broken file", "restart", "upgrade", "pause", "crowd", "silence")
 FIRST_KINDS = tuple(
@@ -32,6 +33,7 @@
     f"server: {kind}" for kind in LATER_SERVER_KINDS
 )
 LATER_KINDS += tuple(f"client: {kind}" for kind in PIPELINING_KINDS)  # last: draws are in order
+LATER_KINDS += SLOW_KINDS
 ALL_KINDS = FIRST_KINDS + LATER_KINDS
 LATER_KIND_SHARE = 0.3  # of the seeds, for each
 BASE_CLIENTS = 6
--- a/hazelhollow/soak/record.py
+++ b/hazelhollow/soak/record.py
@@ -61,7 +61,10 @@
 
 @dataclass(frozen=True)
 class ExecutionRecord:
-    """One request that an endpoint has begun, or refused with `-BUSY`."""
+    """One request that an endpoint has begun, or refused with `-BUSY`.
+
+    The endpoint took `reading` seconds to read it, from its first byte on.
+    """
 
     at: float
     endpoint: str
@@ -69,6 +72,11 @@
     id: str
     told_wait: float
     refused: bool
+    reading: float = 0.0
+
+    def received_at(self) -> float:
+        """Returns when its first byte was read: its attempt had begun by then."""
+        return self.at - self.reading
 
 
 @dataclass(frozen=True)
@@ -89,6 +97,14 @@
     status: int | None
 
 
+@dataclass(frozen=True)
+class SlowAnswer:
+    """A sound answer that takes `seconds`: its value comes then (`is_late`), or in drops."""
+
+    seconds: float
+    is_late: bool
+
+
 @dataclass(frozen=True)
 class PauseRecord:
     """A limiter's process was held up from `began` to `ended`."""
@@ -105,6 +121,7 @@
         held_ids: Requests that endpoints hold for a while, since their clients ask for it.
         breaking_ids: Requests whose endpoints break their values off, after a pause.
         failing_ids: Requests whose first endpoint fails them, after a while.
+        slow_answers: What endpoints write slowly, by request.
         broken_ids: Requests of which an endpoint has left an answer incomplete or late.
         peak_memory_kb: The most that a limiter's process has held.
     """
@@ -122,6 +139,7 @@
     broken_ids: set[str] = field(default_factory=set)
     breaking_ids: set[str] = field(default_factory=set)
     failing_ids: set[str] = field(default_factory=set)
+    slow_answers: dict[str, SlowAnswer] = field(default_factory=dict)
 
 
 def value_for(request_id: str, size: int) -> bytes:
--- a/hazelhollow/soak/rig.py
+++ b/hazelhollow/soak/rig.py
@@ -39,7 +39,7 @@
 from hazelhollow.soak.wire import Kind, encode
 from hazelhollow.standins.answer_script import AnswerScript, ScriptWriter, Write, answer
 from hazelhollow.standins.discovery import Discovery, Host
-from hazelhollow.standins.node import Node, NodeOptions
+from hazelhollow.standins.node import Node, NodeOptions, SlowReading
 
 DEPLOY_FILE = Path(__file__).resolve().parents[2] / "deploy" / "balancer.toml"
 READY_TIMEOUT_S = 30.0
@@ -64,12 +64,13 @@
 
 @dataclass(frozen=True)
 class Execution:
-    """One request that an endpoint began to run."""
+    """One request that an endpoint began to run, after it had read it for `reading` seconds."""
 
     time: float
     endpoint: str
     cell: int
     arguments: tuple[bytes, ...]
+    reading: float = 0.0
 
     @property
     def id(self) -> bytes:
@@ -90,6 +91,7 @@
         module: The program's module; tests replace it by one that injects faults.
         work: Processing time of a request, in seconds.
         environment: Further environment variables of the limiters.
+        endpoint_receive_buffer: Of the endpoints' connections in bytes; 0: the system's own.
         settings: Keys that replace those of the settings.
     """
 
@@ -103,6 +105,7 @@
     module: str = "hazelhollow"
     work: float = 0.005
     environment: Mapping[str, str] = field(default_factory=dict)
+    endpoint_receive_buffer: int = 0
     settings: Mapping[str, Any] = field(default_factory=dict)
 
 
@@ -113,6 +116,7 @@
         executions: What the endpoints began to run, in order.
         written: For each finished answer the request's id and the bytes that the system took.
         script: What endpoints write for a request; None: a short value.
+        slow_reading: How endpoints read a new connection; None: at once.
     """
 
     def __init__(self, options: RigOptions | None = None) -> None:
@@ -126,6 +130,7 @@
         self.executions: list[Execution] = []
         self.written: list[tuple[bytes, int]] = []
         self.script: ScriptWriter | None = None
+        self.slow_reading: Callable[[], SlowReading | None] = lambda: None
         self.endpoints: dict[str, Node] = {}
         self.names = [f"n{number}" for number in range(self.options.limiters)]
         for number, name in enumerate(self.names):
@@ -161,7 +166,9 @@
             work=self.options.work,
             cores=64,
             script=lambda arguments: self.write_answer(arguments),
-            on_begin=lambda arguments: self._record(name, cell, arguments),
+            receive_buffer=self.options.endpoint_receive_buffer,
+            slow_reading=lambda: self.slow_reading(),
+            on_begin=lambda arguments, reading: self._record(name, cell, arguments, reading),
             on_written=lambda arguments, sent: self.written.append((arguments[2], sent)),
         )
         node = self.endpoints[name] = Node(self.scheduler, address, options)
@@ -185,8 +192,9 @@
             return self.script(arguments)
         return (Write(answer(b"value of " + arguments[2])),)
 
-    def _record(self, name: str, cell: int, arguments: list[bytes]) -> None:
-        self.executions.append(Execution(self.scheduler.clock(), name, cell, tuple(arguments)))
+    def _record(self, name: str, cell: int, arguments: list[bytes], reading: float) -> None:
+        now = self.scheduler.clock()
+        self.executions.append(Execution(now, name, cell, tuple(arguments), reading))
 
     # Limiters
 
--- a/hazelhollow/soak/run.py
+++ b/hazelhollow/soak/run.py
@@ -27,12 +27,16 @@
 )
 from hazelhollow.soak.rig import Rig, RigOptions
 from hazelhollow.soak.wire import Kind, encode
+from hazelhollow.standins.node import SlowReading
 
 MAX_PAUSE_S = 0.15  # for which a process may be held up
 EARLIEST_KILL_S = 3.7  # after SIGTERM: the longest deadline and 0.7 s
 SILENCE_S = 2.5  # of discovery
 WORK_S = 0.01  # processing time of a request
 LATENESS_POLL_S = 0.01
+SLOW_READ_SHARE = 0.4  # of the connections to endpoints
+SLOW_READ_S = (0.5, 6.0)  # for a body of the largest size
+SLOW_READ_BYTES, SLOW_READ_BUFFER_BYTES, MAX_BODY_BYTES = 2048, 4096, 65_536
 NO_READER_INTERVAL_S = 0.015  # between connections of clients that read nothing
 
 
@@ -49,9 +53,12 @@
             limiters=plan.limiters,
             endpoints=plan.endpoints,
             work=WORK_S,
+            endpoint_receive_buffer=SLOW_READ_BUFFER_BYTES if plan.has("server: slow reads") else 0,
             limits={**options.limits, "memory_mb": LIMITER_MEMORY_MB},
         )
         self.rig = Rig(options)
+        if plan.has("server: slow reads"):
+            self.rig.slow_reading = self._draw_reading
         self._answers = AnswerWriter(plan, self.rig, self.record, self._draw)
         self._without_reader: list[RawClient] = []
         self._busy = {f"s-{number}": 0 for number in range(plan.endpoints)}
@@ -118,6 +125,13 @@
 
     # Endpoints
 
+    def _draw_reading(self) -> SlowReading | None:
+        """Draws how an endpoint reads a connection: some take 0.5 to 6 s for a large request."""
+        if self._draw.random() >= SLOW_READ_SHARE:
+            return None
+        seconds = self._draw.uniform(*SLOW_READ_S)
+        return SlowReading(SLOW_READ_BYTES, seconds * SLOW_READ_BYTES / MAX_BODY_BYTES)
+
     def _drain_one(self) -> None:
         number = self._draw.randrange(self.plan.endpoints)
         cell = number % self.rig.options.cells
@@ -132,7 +146,9 @@
             told = int(fields["d"]) / 1000
             refused = (run.endpoint, run.id) in self._answers.refused
             self.record.executions.append(
-                ExecutionRecord(run.time, run.endpoint, run.cell, run.id.decode(), told, refused)
+                ExecutionRecord(
+                    run.time, run.endpoint, run.cell, run.id.decode(), told, refused, run.reading
+                )
             )
 
     # Operations
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,7 @@
     ExitRecord,
     PauseRecord,
     RequestRecord,
+    SlowAnswer,
     SoakRecord,
     digest,
     value_for,
@@ -48,6 +49,8 @@
     "read without room": (("client: no reader",), {"memory"}),
     "begin before requests behind": (("client: orders behind",), {"behind"}),
     "trust the poll": (("client: much and gone",), {"gone"}),
+    "cancel by age": (("client: slow answers",), {"cut off"}),
+    "wait for the reader": (("client: large orders", "server: slow reads"), {"late"}),
 }
 PLANTED_SEED = 7
 
@@ -185,6 +188,33 @@
     assert {one.rule for one in check(record)} == {"unsound"}
 
 
+SLOW = replace(
+    SOUND, class_name="look", wait=2.0, value_size=70_000, value=digest(value_for("a", 70_000)),
+    first_byte_at=11.0, ended_at=11.0,
+)  # fmt: skip
+
+
+def slow_record(request: RequestRecord, seconds: float, *runs: ExecutionRecord) -> SoakRecord:
+    return replace(record_of(request, *runs), slow_answers={"a": SlowAnswer(seconds, True)})
+
+
+def test_planted_cut_of_a_slow_answer_is_found() -> None:
+    """An answer of 0.9 s: refused after its attempt was cut, or served by a second attempt."""
+    again = replace(RUN, at=10.5, endpoint="s-1")
+    refused = replace(SLOW, outcome="busy", ended_at=10.5)
+    assert check(slow_record(SLOW, 0.9)) == []
+    assert {one.rule for one in check(slow_record(refused, 0.9))} == {"cut off"}
+    assert {one.rule for one in check(slow_record(SLOW, 0.9, RUN, again))} == {"cut off"}
+    assert check(slow_record(SLOW, 1.7, RUN, again)) == []  # silent until its time was nearly over
+    assert check(slow_record(refused, 0.9, replace(RUN, id="other"))) == []  # load was shed
+
+
+def test_time_that_an_endpoint_takes_to_read_is_no_told_time() -> None:
+    slowly_read = replace(RUN, at=10.6, told_wait=0.95, reading=0.55)
+    assert check(record_of(replace(SOUND, ended_at=10.7), slowly_read)) == []
+    assert check(record_of(replace(SOUND, ended_at=10.7), replace(slowly_read, reading=0.0)))
+
+
 def test_request_behind_a_broken_value_that_no_server_has_got_may_be_sent_again() -> None:
     behind = replace(SOUND, outcome="behind a broken value")
     assert check(record_of(behind, replace(RUN, id="other"))) == []
