A client whose commands do not fit behind a forwarded value is not cut off

Behind a forwarded value nothing is read; a client that pipelines more than the socket holds stands in the middle of a command, and looked as if it had stopped there.

A client that stops in a command of 64 KB is still told within 3 s.

--- a/hazelhollow/net/stream.py
+++ b/hazelhollow/net/stream.py
@@ -232,6 +232,11 @@
         except OSError:
             return b""
 
+    def enlarge_receive_buffer(self) -> None:
+        """Lets the operating system hold more bytes that are not read yet."""
+        with suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SYSTEM_RECEIVE_BUFFER_BYTES)
+
     def unread_bytes(self) -> int:
         """Returns how many received bytes are unread; 0 if the operating system cannot tell."""
         return self._count_of(termios.FIONREAD) or 0
--- a/hazelhollow/net/unread_input.py
+++ b/hazelhollow/net/unread_input.py
@@ -25,10 +25,19 @@
 
     def __init__(self, stream: Stream, reader: CommandReader) -> None:
         self._stream, self._reader = stream, reader
-        self.restart()
+        self.forget()
 
     def restart(self) -> None:
-        """Forgets what was examined: the session has read since."""
+        """Begins to judge: the session reads nothing from now on.
+
+        More must fit into the socket than is examined. Otherwise the rest of a command might not
+        arrive for want of room, and its client would look as if it had stopped.
+        """
+        self._stream.enlarge_receive_buffer()
+        self.forget()
+
+    def forget(self) -> None:
+        """Forgets what was examined."""
         self._size, self._commands = NOT_EXAMINED, 0
         self._partial_since: float | None = None  # when the last command was found incomplete
 
--- a/tests/soak/test_slow_answers_cut_off.py
+++ b/tests/soak/test_slow_answers_cut_off.py
@@ -131,3 +131,53 @@
         outcomes = slow.play([slow.slow_request() for _ in range(24)])
     wait = WAIT_MS / 1000
     assert [one for one in outcomes if not wait - 0.1 < one.took < wait + LATE_S] == []
+
+
+@pytest.mark.parametrize("piece", [60_000, 700])
+def test_client_is_cut_off_whose_requests_do_not_fit_behind_a_value_that_flows(piece: int) -> None:
+    """A value flows for 2.6 s; its client sends 6 orders of 60 KB behind it, more than fits."""
+    answers, first = list[Answer | None](), new_id()
+    with Rig(OPTIONS) as rig:
+        rig.script = lambda arguments: (
+            in_drops(LONG, 2.6, 26) if arguments[2] == first else [Write(answer(b"short"))]
+        )
+        orders = [request("pay", new_id(), 3000, b"B" * 60_000) for _ in range(6)]
+        data = b"".join(orders)
+
+        def write(client: RawClient) -> None:
+            for start in range(0, len(data), piece):
+                client.send(data[start : start + piece], 8.0)
+
+        def scenario() -> None:
+            rig.start()
+            client = rig.connect()
+            client.send(request("look", first, WAIT_MS))
+            client.read_some(rig.scheduler.clock() + 2.0, 1)
+            rig.scheduler.spawn(write, client)
+            answers.extend(client.answer(8.0) for _ in range(7))
+            client.close()
+
+        rig.run(scenario)
+    assert answers == [Answer(Kind.VALUE, LONG)] + [Answer(Kind.VALUE, b"short")] * 6
+
+
+def test_client_that_stops_in_a_command_behind_a_value_that_flows_is_not_told() -> None:
+    """A value flows for 6 s; its client stops in the body of an order: it is told within 3 s."""
+    told = list[tuple[bool, float]]()
+    with Rig(OPTIONS) as rig:
+        rig.script = lambda _: in_drops(LONG, 6.0, 60)
+
+        def scenario() -> None:
+            rig.start()
+            client = rig.connect()
+            client.send(request("look", new_id(), WAIT_MS))
+            client.read_some(rig.scheduler.clock() + 2.0, 1)
+            client.send(request("pay", new_id(), 3000, b"B" * 65_000)[:64_000], 2.0)
+            stopped_at = rig.scheduler.clock()
+            found = client.answer(8.0)
+            told.append((found is None, rig.scheduler.clock() - stopped_at))
+            client.close()
+
+        rig.run(scenario)
+    ((is_closed, took),) = told
+    assert is_closed and took < 3.0
