--- a/hazelhollow/standins/node.py
+++ b/hazelhollow/standins/node.py
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True)
 class SlowReading:
-    """A connection is read in pieces of `size` bytes, each `pause` seconds after the last."""
+    """A command is read in pieces of `size` bytes, each `pause` seconds after the last."""
 
     size: int
     pause: float
@@ -153,7 +153,7 @@
                         connection.first_byte_at = 0.0
                 except ProtocolError:
                     driver.close(CloseReason.MALFORMED)
-            if reading and data:
+            if reading and connection.first_byte_at:
                 self.scheduler.sleep(reading.pause)
 
     def _handle(self, connection: Connection, command: resp.Value) -> None:
