Sessions ask less often whether they may read, and when

In each turn a session asked twice for room, read the clock although nothing had changed, and asked twice whether a close would be seen.

--- a/hazelhollow/net/client_memory.py
+++ b/hazelhollow/net/client_memory.py
@@ -74,7 +74,7 @@
 
         `is_pipelined`: whether its client has other requests or unread answers.
         """
-        return self._room(is_pipelined) > 0 or not self.held_bytes
+        return not self.held_bytes or self._room(is_pipelined) > 0
 
     def has_room_to_read_ahead(self) -> bool:
         """Whether more may be read of a client whose commands already wait to be executed.
--- a/hazelhollow/net/engine_driver.py
+++ b/hazelhollow/net/engine_driver.py
@@ -536,7 +536,7 @@
 
         Guards against attempts for a client whose close stands behind input that is not read.
         """
-        return opened.responder.shows_disconnect() or opened.responder.is_client_known()
+        return opened.responder.is_client_known()
 
     def _mark_answered(self, request_id: str) -> OpenRequest | None:
         """Marks a request as answered; returns None if it is not open or already answered."""
--- a/hazelhollow/net/session.py
+++ b/hazelhollow/net/session.py
@@ -249,8 +249,9 @@
 
     def _has_memory(self) -> bool:
         """Whether there is room to execute a request."""
-        if not self.memory.has_room(is_pipelined=not self._has_sent_all_answers()):
-            self._stream.flush()  # what has been sent is not held any more
+        if self.memory.has_room(is_pipelined=not self._has_sent_all_answers()):
+            return True
+        self._stream.flush()  # what has been sent is not held any more
         return self.memory.has_room(is_pipelined=not self._has_sent_all_answers())
 
     def reject_partial_command(self) -> bool:
@@ -465,15 +466,20 @@
         if self.unserved_command_limit.is_exhausted():
             return self.unserved_command_limit.available_at(), 0
         self._waits_for_memory = False
-        until = self._next_execution(self._frontend.scheduler.clock())
+        may_read = self._may_read()
+        until = self._next_execution(may_read)
         accepts = self._input.is_accepting() and self._accepts_commands()
-        return until, READABLE if accepts and self._may_read() else 0
+        return until, READABLE if accepts and may_read else 0
 
-    def _next_execution(self, now: float) -> float | None:
+    def _next_execution(self, may_read: bool) -> float | None:
         """Returns when to continue with what was read; None if something else wakes the session."""
         if len(self.slots) >= MAX_PIPELINED:
             return None
-        if self.reader.has_queued():
+        has_queued = self.reader.has_queued()
+        if may_read and not has_queued and not self._input.has_final_input():
+            return None
+        now = self._frontend.scheduler.clock()
+        if has_queued:
             if not self._has_memory():
                 return self._wait_for_memory(now)
             if not self.is_client_known(EXECUTION_MARGIN_S):
@@ -481,7 +487,7 @@
             return now  # next turn, after other connections
         if self._input.has_final_input():
             return now
-        return None if self._may_read() else self._wait_for_memory(now)
+        return self._wait_for_memory(now)
 
     def _may_read(self) -> bool:
         """Whether there is room to read; a part of a command keeps what it holds.
--- a/hazelhollow/net/session_input.py
+++ b/hazelhollow/net/session_input.py
@@ -75,6 +75,8 @@
 
     def set_reading(self, is_reading: bool) -> None:
         """Notes whether the session waits for bytes from now on."""
+        if is_reading and self.is_reading:
+            return
         now = self._stream.scheduler.clock()
         if not is_reading:
             if self._unread_since is None:
