--- a/tests/decisions/test_supervision.py
+++ b/tests/decisions/test_supervision.py
@@ -160,3 +160,33 @@
     assert send.endpoint not in engine.unavailable_endpoints()
     engine.handle(ROUND, START + 1.6)
     assert send.endpoint in engine.unavailable_endpoints()
+
+
+def test_attempt_is_cancelled_again_before_its_end_is_known() -> None:
+    engine = quick_engine()
+    begin(engine)
+    first = actions_of(engine.handle(ROUND, START + 0.8), api.CancelAttempt)
+    again = actions_of(engine.handle(ROUND, START + 0.87), api.CancelAttempt)
+    assert len(first) == 1 and again == []
+
+
+def test_value_that_is_forwarded_loses_its_attempt_when_its_time_is_nearly_over() -> None:
+    engine = quick_engine()
+    (send,) = begin(engine)
+    engine.handle(progressed(send, START + 0.03), START + 0.05)
+    engine.handle(api.AttemptStarted(send.id, 0, send.endpoint), START + 0.06)
+    assert cancel(engine, ROUND, START + 2.75)[0] == []
+
+
+def test_slow_class_gives_up_a_silent_answer_long_before_the_end() -> None:
+    """Its work is 0.5 s, twice that would be half of its client's time; 0.5 s are enough."""
+    slow = api.RequestClass(
+        "slow", latency_objective=3.0, deadline=4.0, priority_weight=1.0, effect="safe"
+    )
+    engine = make_engine(classes=(slow,))
+    (send,) = begin(engine, kind="slow")
+    for endpoint in engine.endpoints.values():
+        endpoint.work_factor = 0.2
+    engine.handle(progressed(send, START + 0.03), START + 0.05)
+    assert cancel(engine, ROUND, START + 2.4)[0] == []
+    assert [one.reason for one in cancel(engine, ROUND, START + 2.6)[0]] == ["last try"]
