--- a/hazelhollow/decisions/attempts.py
+++ b/hazelhollow/decisions/attempts.py
@@ -121,9 +121,12 @@
 
         `retry_until`: the time by which it must be expected to end.
         """
+        random = self._context.random
+        state = random.getstate()
         attempt.in_flight = False
         _, denial = self._choose_for_retry(request, 1.0, retry_until)
         attempt.in_flight = True
+        random.setstate(state)  # a check changes no later choice
         return denial is None
 
     def _choose_for_retry(
--- a/hazelhollow/decisions/supervision.py
+++ b/hazelhollow/decisions/supervision.py
@@ -95,9 +95,7 @@
         """Cancels the next overdue attempt whose request can have another one."""
         while self._overdue:
             overdue = self._overdue.popleft()
-            request = overdue.request
-            is_last_try = overdue.reason == "last try"
-            if self._cancel(overdue, request.deadline if is_last_try else request.retry_until):
+            if self._cancel(overdue, overdue.request.deadline):
                 return
 
     def _hung(self) -> Iterator[OverdueAttempt]:
