--- a/tests/decisions/test_supervision.py
+++ b/tests/decisions/test_supervision.py
@@ -200,3 +200,15 @@
     before = engine.context.random.getstate()
     assert engine.attempts.can_replace(request, request.attempts[0], request.deadline)
     assert engine.context.random.getstate() == before and request.attempts[0].in_flight
+
+
+def test_hung_attempt_whose_retry_ends_after_the_objective_has_none() -> None:
+    """The other endpoints are slow: the retry is late, but in its client's time."""
+    engine = quick_engine()
+    (send,) = begin(engine)
+    for name, endpoint in engine.endpoints.items():
+        if name != send.endpoint:
+            endpoint.work_factor = 10.0
+    cancelled, others = cancel(engine, ROUND, START + 0.8)
+    (again,) = actions_of(others, api.StartAttempt)
+    assert [one.reason for one in cancelled] == ["hung"] and again.endpoint != send.endpoint
